--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,4 +1,4 @@
-//! All decisions of holdtray. The interface (settings, events, actions) stands in `src/api.rs`; the records
+//! All decisions of pumiceway. The interface (settings, events, actions) stands in `src/api.rs`; the records
 //! kept of workers and requests, plain data, in `src/state.rs`.
 //!
 //! Reading order: script, validity, dispatch, request life, worker belief, list, probes and ticks.
--- a/src/bin/holdtray-simhost/host.rs
+++ b/src/bin/pumiceway-adapter/host.rs
@@ -1,8 +1,8 @@
 //! The instance map: wire ids to handles and back, one balancer for each instance.
 
 use crate::wire::{self, Item, Order, Reply};
-use holdtray::Balancer;
-use holdtray::api::*;
+use pumiceway::Balancer;
+use pumiceway::api::*;
 use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap};
 
--- a/src/bin/holdtray-simhost/main.rs
+++ b/src/bin/pumiceway-adapter/main.rs
@@ -10,7 +10,7 @@
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("holdtray-simhost: {e}");
+            eprintln!("pumiceway-adapter: {e}");
             ExitCode::from(2)
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! holdtray decides, for a dispatcher that pushes jobs to workers, where each job goes, when it waits,
+//! pumiceway decides, for a dispatcher that pushes jobs to workers, where each job goes, when it waits,
 //! when it is refused, and what becomes of it when workers fail.
 //!
 //! It is sans-I/O: the host keeps the clock, the connections and the timers, hands events to
@@ -6,7 +6,7 @@
 //! [`Balancer`]; they share nothing.
 //!
 //! ```
-//! use holdtray::{Balancer, api::*};
+//! use pumiceway::{Balancer, api::*};
 //!
 //! # fn main() -> Result<(), SettingsError> {
 //! let settings = Settings {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A host for tests: it keeps the clock and collects actions, and models no server.
 #![allow(dead_code)] // each test file uses its own part
 
-use holdtray::Balancer;
-use holdtray::api::*;
+use pumiceway::Balancer;
+use pumiceway::api::*;
 
 pub const MS: Micros = 1_000;
 pub const START: Micros = 1_000_000_000;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use holdtray::Balancer;
-use holdtray::api::*;
+use pumiceway::Balancer;
+use pumiceway::api::*;
 
 const KEYED_ALL: Effect = Effect::Keyed { group: Group::All, window: 1_000 * MS };
 const KEYED_ZONE: Effect = Effect::Keyed { group: Group::Zone, window: 1_000 * MS };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use holdtray::api::*;
+use pumiceway::api::*;
 use std::collections::BTreeMap;
 
 struct Held {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -7,7 +7,7 @@
 const KNOCK: &str = r#"{"sim-time-us":1005000,"items":[{"knock":{"i":3,"corr":"r-1","qos":"c","left-us":5000000,"slots":1}}]}"#;
 
 fn talk(lines: &[&str]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_holdtray-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pumiceway-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
