--- a/src/bin/pumiceway-adapter/host.rs
+++ b/src/bin/pumiceway-adapter/host.rs
@@ -3,6 +3,7 @@
 use crate::wire::{self, Item, Order, Reply};
 use pumiceway::Balancer;
 use pumiceway::api::*;
+use pumiceway::settings::Conf;
 use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap};
 
@@ -20,10 +21,7 @@
 
 /// What the wire's names mean to one instance.
 struct Names {
-    classes: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    fields: Vec<Field>,
+    conf: Conf,
     worker_handles: HashMap<Box<str>, WorkerId>,
     workers: Vec<Box<str>>,
     request_handles: HashMap<Box<str>, RequestId>,
@@ -39,15 +37,6 @@
     ended: bool,
 }
 
-#[derive(Clone, Copy)]
-enum Field {
-    InFlight,
-    Waiting,
-    FreeSlots,
-    FreeMemory,
-    Other,
-}
-
 impl Host {
     /// Plays one batch and appends the reply.
     pub fn batch(&mut self, line: &str, reply: &mut Vec<u8>) -> Result<(), String> {
@@ -88,7 +77,7 @@
 impl Instance {
     fn boot(boot: &wire::Boot) -> Result<Instance, String> {
         let names = Names::new(&boot.conf);
-        let settings = settings(&boot.conf, &names)?;
+        let settings = boot.conf.settings().map_err(|e| e.to_string())?;
         let balancer = Balancer::new(settings, boot.entropy).map_err(|e| e.to_string())?;
         Ok(Instance { balancer, names, next_wake: 0, actions: Vec::new() })
     }
@@ -118,7 +107,7 @@
                 self.balancer.handle(now, Event::List { kind, entries: &entries }, out);
             }
             Item::Knock(e) => {
-                let class = ClassId(index(&names.classes, &e.qos).ok_or(format!("unknown class {}", e.qos))?);
+                let class = ClassId(names.conf.class(&e.qos).ok_or(format!("unknown class {}", e.qos))?);
                 let request = names.open(&e.corr)?;
                 let event = Event::Request(Incoming {
                     request,
@@ -191,8 +180,8 @@
     }
 }
 
-fn index(names: &[String], name: &str) -> Option<usize> {
-    names.iter().position(|n| n == name)
+fn named<'a>(name: &'a Option<Cow<str>>) -> &'a str {
+    name.as_deref().unwrap_or_default()
 }
 
 fn status(reason: wire::Reason) -> Status {
@@ -208,107 +197,10 @@
     }
 }
 
-/// Names that the settings know; a name that stands for nothing allows nobody and is no fault.
-fn placed<'a>(list: &'a [Cow<str>], known: &'a [String]) -> impl Iterator<Item = usize> + 'a {
-    list.iter().filter_map(|name| index(known, name))
-}
-
-/// The kinds open to a class: the site's list and the kind that the service binds it to, where given.
-fn kinds_of(lane: &wire::Lane, bound: Option<i64>, names: &Names) -> Option<Vec<KindId>> {
-    let bound = bound.and_then(|k| usize::try_from(k).ok());
-    let open: Vec<usize> = match (&lane.kinds_open, bound) {
-        (None, None) => return None,
-        (Some(list), None) => placed(list, &names.kinds).collect(),
-        (None, Some(k)) => vec![k],
-        (Some(list), Some(k)) => placed(list, &names.kinds).filter(|&open| open == k).collect(),
-    };
-    Some(open.into_iter().filter(|&k| k < names.kinds.len()).map(KindId).collect())
-}
-
-fn settings(conf: &wire::Conf, names: &Names) -> Result<Settings, String> {
-    let classes = conf
-        .lanes
-        .iter()
-        .enumerate()
-        .map(|(n, lane)| Class {
-            effect: match lane.semantics {
-                wire::Semantics::ReadLike => Effect::Safe,
-                wire::Semantics::NonIdempotent => Effect::Unsafe,
-                wire::Semantics::IdempotencyKey => Effect::Keyed {
-                    group: match lane.dedup_scope {
-                        Some(wire::Scope::All) => Group::All,
-                        Some(wire::Scope::Zone) => Group::Zone,
-                        // Without a word on the group, the narrowest one is the safe reading.
-                        Some(wire::Scope::Cell) | None => Group::Cell,
-                    },
-                    window: lane.window_us,
-                },
-            },
-            worth: lane.points,
-            aim: lane.aim_us,
-            stretch: lane.aim_stretch.or(conf.family_info.class_stretch.get(n).copied()).unwrap_or(0.0),
-            deadline: lane.deadline_us,
-            zones: lane.zones_only.as_ref().map(|list| placed(list, &names.zones).map(ZoneId).collect()),
-            kinds: kinds_of(lane, conf.family_info.class_kind.get(n).copied(), names),
-        })
-        .collect();
-    let my_zone = match &conf.my_zone {
-        Some(zone) => Some(ZoneId(index(&names.zones, zone).ok_or(format!("unknown zone {zone}"))?)),
-        None => None,
-    };
-    Ok(Settings {
-        me: conf.me,
-        instances: conf.n_instances,
-        zones: names.zones.len().max(1),
-        my_zone,
-        kinds: names.kinds.len().max(1),
-        classes,
-        prices: Prices { cross_zone: conf.prices.cross_zone, probe: conf.prices.probe },
-        report_via: match conf.report.via {
-            wire::Via::Answers => ReportVia::Answers,
-            wire::Via::Probe => ReportVia::Probe,
-            wire::Via::None => ReportVia::None,
-        },
-        list_by_asking: conf.discovery == wire::Discovery::Subscribe,
-        ask_within: conf.rules.ask_within_us,
-        probes: conf.limits.probes,
-        cancel: conf.limits.cancel,
-        second_copies: conf.limits.second_copies,
-        retry_after: conf.limits.retry_after,
-        max_retry_after: conf.limits.max_retry_after_us,
-        max_attempts: conf.limits.most_tries,
-        connect_timeout: conf.limits.connect_timeout_us,
-        connection_idle: conf.limits.conn_idle_us,
-        resolution: conf.resolution_us,
-        tells_start: conf.family_info.tells_start,
-        progress_every: conf.family_info.progress_us,
-        cold_from: conf.rules.cold_from,
-        cold_for: conf.rules.cold_us,
-        tip_multiple: conf.rules.tip_multiple,
-        fall_window: conf.rules.fall_us,
-    })
-}
-
 impl Names {
-    fn new(conf: &wire::Conf) -> Names {
-        let own = |names: &[Cow<str>]| names.iter().map(|n| n.to_string()).collect::<Vec<_>>();
-        let fields = conf
-            .report
-            .fields
-            .iter()
-            .map(|f| match &**f {
-                "active" => Field::InFlight,
-                "waiting" => Field::Waiting,
-                "x0" => Field::FreeSlots,
-                "x1" => Field::FreeMemory,
-                _ => Field::Other,
-            })
-            .collect();
+    fn new(conf: &Conf) -> Names {
         Names {
-            classes: conf.lanes.iter().map(|l| l.name.to_string()).collect(),
-            zones: own(&conf.zones),
-            kinds: own(&conf.kinds),
-            fields,
+            conf: conf.clone(),
             worker_handles: HashMap::new(),
             workers: Vec::new(),
             request_handles: HashMap::new(),
@@ -319,10 +211,6 @@
     }
 
     fn entry<'a>(&mut self, m: &'a wire::Member) -> Result<Entry<'a>, String> {
-        let find = |names: &[String], name: &Option<Cow<str>>, what: &str| match name {
-            Some(n) => index(names, n).ok_or(format!("unknown {what} {n}")),
-            None => Ok(0),
-        };
         let worker = *self.worker_handles.entry((&*m.worker).into()).or_insert_with(|| {
             self.workers.push((&*m.worker).into());
             WorkerId(self.workers.len() as u32 - 1)
@@ -330,8 +218,14 @@
         Ok(Entry {
             worker,
             id: &m.worker,
-            zone: ZoneId(find(&self.zones, &m.campus, "zone")?),
-            kind: KindId(find(&self.kinds, &m.sku, "kind")?),
+            zone: self
+                .conf
+                .zone(m.campus.as_deref())
+                .ok_or_else(|| format!("unknown zone {}", named(&m.campus)))?,
+            kind: self
+                .conf
+                .kind(m.sku.as_deref())
+                .ok_or_else(|| format!("unknown kind {}", named(&m.sku)))?,
             cell: m.cohort,
             state: match m.availability {
                 wire::Availability::Healthy => WorkerState::Ready,
@@ -358,17 +252,8 @@
     }
 
     fn report(&self, stats: Option<&[f64]>) -> Option<Report> {
-        let mut report = Report::default();
-        for (field, &value) in self.fields.iter().zip(stats?) {
-            match field {
-                Field::InFlight => report.in_flight = Some(value),
-                Field::Waiting => report.waiting = Some(value),
-                Field::FreeSlots => report.free_slots = Some(value),
-                Field::FreeMemory => report.free_memory = Some(value),
-                Field::Other => {}
-            }
-        }
-        Some(report)
+        let names = self.conf.report.fields.iter().map(String::as_str);
+        Some(Conf::report(names.zip(stats?.iter().copied())))
     }
 
     /// Books the end of an attempt or of a request; the id is kept until both are over.
--- a/src/bin/pumiceway-adapter/wire.rs
+++ b/src/bin/pumiceway-adapter/wire.rs
@@ -1,5 +1,6 @@
 //! The simulator's wire: one JSON value a line, typed and borrowed from the line.
 
+use pumiceway::settings::Conf;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
@@ -14,8 +15,7 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Item<'a> {
-    #[serde(borrow)]
-    Boot(Box<Boot<'a>>),
+    Boot(Box<Boot>),
     #[serde(borrow)]
     Announce(Announce<'a>),
     #[serde(borrow)]
@@ -40,11 +40,10 @@
 }
 
 #[derive(Deserialize)]
-pub struct Boot<'a> {
+pub struct Boot {
     pub i: u64,
     pub entropy: u64,
-    #[serde(borrow)]
-    pub conf: Conf<'a>,
+    pub conf: Conf,
 }
 
 #[derive(Deserialize)]
@@ -174,154 +173,6 @@
     pub stats: Option<Vec<f64>>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Conf<'a> {
-    #[serde(default)]
-    pub me: usize,
-    #[serde(default = "one")]
-    pub n_instances: usize,
-    #[serde(borrow, default)]
-    pub zones: Vec<Cow<'a, str>>,
-    #[serde(borrow)]
-    pub my_zone: Option<Cow<'a, str>>,
-    #[serde(borrow, default)]
-    pub kinds: Vec<Cow<'a, str>>,
-    #[serde(borrow)]
-    pub lanes: Vec<Lane<'a>>,
-    #[serde(default)]
-    pub discovery: Discovery,
-    #[serde(default)]
-    pub family_info: FamilyInfo,
-    pub limits: Limits,
-    #[serde(default)]
-    pub prices: PricesConf,
-    #[serde(borrow, default)]
-    pub report: ReportConf<'a>,
-    pub rules: Rules,
-    #[serde(default)]
-    pub resolution_us: u64,
-}
-
-fn one() -> usize {
-    1
-}
-
-#[derive(Deserialize, Default, Clone, Copy, PartialEq)]
-#[serde(rename_all = "snake_case")]
-pub enum Discovery {
-    #[default]
-    Automatic,
-    Subscribe,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Lane<'a> {
-    #[serde(borrow)]
-    pub name: Cow<'a, str>,
-    pub aim_us: u64,
-    pub aim_stretch: Option<f64>,
-    pub deadline_us: u64,
-    pub points: f64,
-    pub semantics: Semantics,
-    pub dedup_scope: Option<Scope>,
-    #[serde(borrow)]
-    pub zones_only: Option<Vec<Cow<'a, str>>>,
-    #[serde(borrow)]
-    pub kinds_open: Option<Vec<Cow<'a, str>>>,
-    #[serde(default)]
-    pub window_us: u64,
-}
-
-#[derive(Deserialize, Clone, Copy)]
-#[serde(rename_all = "snake_case")]
-pub enum Semantics {
-    ReadLike,
-    IdempotencyKey,
-    NonIdempotent,
-}
-
-#[derive(Deserialize, Clone, Copy)]
-#[serde(rename_all = "snake_case")]
-pub enum Scope {
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct FamilyInfo {
-    pub class_kind: Vec<i64>,
-    pub class_stretch: Vec<f64>,
-    pub progress_us: u64,
-    pub tells_start: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Limits {
-    #[serde(default)]
-    pub cancel: bool,
-    #[serde(default)]
-    pub conn_idle_us: u64,
-    #[serde(default)]
-    pub connect_timeout_us: u64,
-    #[serde(default)]
-    pub max_retry_after_us: u64,
-    pub most_tries: usize,
-    #[serde(default)]
-    pub probes: bool,
-    #[serde(default)]
-    pub retry_after: bool,
-    #[serde(default)]
-    pub second_copies: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "kebab-case", default)]
-pub struct PricesConf {
-    pub cross_zone: f64,
-    pub probe: f64,
-}
-
-#[derive(Deserialize, Default)]
-pub struct ReportConf<'a> {
-    #[serde(borrow, default)]
-    pub fields: Vec<Cow<'a, str>>,
-    #[serde(default)]
-    pub via: Via,
-}
-
-#[derive(Deserialize, Default, Clone, Copy)]
-#[serde(rename_all = "snake_case")]
-pub enum Via {
-    Answers,
-    Probe,
-    #[default]
-    None,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub struct Rules {
-    #[serde(default)]
-    pub ask_within_us: u64,
-    #[serde(default = "whole")]
-    pub cold_from: f64,
-    #[serde(default)]
-    pub cold_us: u64,
-    #[serde(default)]
-    pub fall_us: u64,
-    #[serde(default)]
-    pub tip_multiple: f64,
-}
-
-fn whole() -> f64 {
-    1.0
-}
-
 #[derive(Serialize)]
 pub struct Reply<'a> {
     pub orders: Vec<Order<'a>>,
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,181 @@
+//! The one place where configuration is read, checked and given defaults. Every message names its key.
+
+use crate::api::Settings;
+use crate::discovery::Listing;
+use crate::settings::Conf;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+
+/// What is wrong with the configuration.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum ConfigError {
+    /// A file can't be read.
+    #[error("{file}: {why}")]
+    File {
+        /// Its name.
+        file: String,
+        /// Why.
+        why: String,
+    },
+    /// A value that is missing or can't be used.
+    #[error("{key}: {why}")]
+    Key {
+        /// Its key.
+        key: String,
+        /// Why.
+        why: String,
+    },
+}
+
+fn bad(key: &str, why: impl ToString) -> ConfigError {
+    ConfigError::Key { key: key.to_owned(), why: why.to_string() }
+}
+
+/// The configuration file of the platform, as written.
+#[derive(Deserialize)]
+struct Written {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    #[serde(default)]
+    limits: LimitsWritten,
+    known: Option<Listing>,
+    settings: Conf,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct LimitsWritten {
+    sockets: usize,
+    memory_mb: u64,
+}
+
+impl Default for LimitsWritten {
+    fn default() -> LimitsWritten {
+        LimitsWritten { sockets: 1024, memory_mb: 192 }
+    }
+}
+
+/// All that the dispatcher is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where discovery is; without one the route set comes from elsewhere.
+    pub discovery: Option<String>,
+    /// For random numbers.
+    pub seed: u64,
+    /// How sockets are shared out.
+    pub sockets: Sockets,
+    /// The route set as this dispatcher last held it.
+    pub known: Option<Listing>,
+    /// The settings as written.
+    pub conf: Arc<Conf>,
+    /// The settings of the decisions.
+    pub settings: Settings,
+}
+
+/// How the descriptors that the process may hold are shared out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sockets {
+    /// Connections of clients that are served.
+    pub inbound: usize,
+    /// Further ones that only get a busy answer.
+    pub spare: usize,
+    /// Idle connections to all next hops together.
+    pub idle: usize,
+}
+
+/// Descriptors for all else: listeners, discovery, probes, standard streams.
+const RESERVE: usize = 64;
+/// Fewer leave nothing to work with.
+const SOCKETS_LEAST: usize = 128;
+
+impl Sockets {
+    /// A served connection has at most two branches out, each on a connection of its own.
+    fn share_out(sockets: usize) -> Sockets {
+        let free = sockets - RESERVE;
+        Sockets { inbound: free / 5, spare: free / 10, idle: free * 3 / 10 }
+    }
+}
+
+/// Names the key that a JSON or TOML text is wrong at.
+fn at<E: std::fmt::Display>(file: &str) -> impl Fn(serde_path_to_error::Error<E>) -> ConfigError + '_ {
+    move |e| match e.path().to_string().as_str() {
+        "." => ConfigError::File { file: file.to_owned(), why: e.inner().to_string() },
+        key => bad(key, format!("{} (in {file})", e.inner())),
+    }
+}
+
+fn read(file: &Path) -> Result<String, ConfigError> {
+    std::fs::read_to_string(file)
+        .map_err(|e| ConfigError::File { file: file.display().to_string(), why: e.to_string() })
+}
+
+/// Reads a file of ours.
+pub fn read_toml<T: DeserializeOwned>(file: &Path) -> Result<T, ConfigError> {
+    let text = read(file)?;
+    let name = file.display().to_string();
+    let parsed = toml::Deserializer::parse(&text)
+        .map_err(|e| ConfigError::File { file: name.clone(), why: e.to_string() })?;
+    serde_path_to_error::deserialize(parsed).map_err(at(&name))
+}
+
+/// Checks an address that is written under a key.
+pub fn address(key: &str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| bad(key, format!("{text:?} is not an address like 127.0.0.1:3000")))
+}
+
+impl Config {
+    /// Reads the file named by `ROUTER_CONFIG`; the other variables win over what it says.
+    pub fn from_environment(env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
+        let file = env("ROUTER_CONFIG").ok_or_else(|| bad("ROUTER_CONFIG", "not set"))?;
+        Config::from_text(&read(Path::new(&file))?, &file, env)
+    }
+
+    /// Reads the text of that file.
+    pub fn from_text(
+        text: &str,
+        file: &str,
+        env: impl Fn(&str) -> Option<String>,
+    ) -> Result<Config, ConfigError> {
+        let mut parsed = serde_json::Deserializer::from_str(text);
+        let written: Written = serde_path_to_error::deserialize(&mut parsed).map_err(at(file))?;
+        let listen = env("ROUTER_LISTEN").or(written.listen).ok_or_else(|| bad("listen", "missing"))?;
+        let listen = address("listen", &listen)?;
+        let discovery = env("ROUTER_DISCOVERY").or(written.discovery).filter(|d| !d.is_empty());
+        if let Some(discovery) = &discovery {
+            let port = discovery.rsplit_once(':').and_then(|(_, port)| port.parse::<u16>().ok());
+            port.ok_or_else(|| bad("discovery", format!("{discovery:?} is not host:port")))?;
+        }
+        let seed = match written.seed.as_deref() {
+            Some(text) => u64::from_str_radix(text, 16)
+                .map_err(|_| bad("seed", format!("{text:?} is not 16 hexadecimal digits")))?,
+            None => fastrand::u64(..),
+        };
+        if written.limits.sockets < SOCKETS_LEAST {
+            return Err(bad("limits.sockets", format!("fewer than {SOCKETS_LEAST}")));
+        }
+        if written.limits.memory_mb < 32 {
+            return Err(bad("limits.memory_mb", "less than 32"));
+        }
+        let settings = written.settings.settings().map_err(|e| bad("settings", e))?;
+        Ok(Config {
+            name: env("ROUTER_NAME").or(written.name).unwrap_or_else(|| "pumiceway".to_owned()),
+            listen,
+            discovery,
+            seed,
+            sockets: Sockets::share_out(written.limits.sockets),
+            known: written.known,
+            conf: Arc::new(written.settings),
+            settings,
+        })
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,222 @@
+//! The core: transactions, branches, route set, timers, drain state and the decisions, behind one reducer.
+//!
+//! It knows no wire, no socket and no clock. What happens outside comes in as an [`Event`] with the time;
+//! what is to be done outside goes out as [`Effect`]s, whose results come back as events.
+
+mod kept;
+mod reducer;
+mod routes;
+
+pub use kept::{Identity, Retention};
+pub use reducer::Core;
+pub use routes::{NextHop, Reach, RouteNews, Source};
+
+use crate::api::{ClassId, Micros, Report, Status, WorkerId};
+use bytes::Bytes;
+use std::sync::Arc;
+
+/// A client that waits for the answer to a transaction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// One branch: an attempt to have a transaction done by a next hop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BranchId(pub u64);
+
+/// What is to be done, as it is passed on to next hops.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// The id that the client gave it.
+    pub id: String,
+    /// Path and query.
+    pub path: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A transaction as a front hands it in.
+#[derive(Clone, Debug)]
+pub struct Transaction {
+    /// Its class.
+    pub class: ClassId,
+    /// Time until the client stops waiting.
+    pub left: Micros,
+    /// Slots it takes.
+    pub slots: f64,
+    /// Memory it takes.
+    pub memory: f64,
+    /// What is to be done.
+    pub job: Arc<Job>,
+    /// What its client calls it by when it comes again: it then joins the transaction that is running, or
+    /// gets the kept answer.
+    pub identity: Option<Identity>,
+}
+
+/// The final answer to a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// What a next hop made of it.
+    Served(Bytes),
+    /// Busy answer: it has not run, or may run again; trying again is harmless.
+    Busy {
+        /// How long the client had better stay away.
+        retry_after: Option<Micros>,
+    },
+    /// Failed; it may have run.
+    Failed(&'static str),
+}
+
+/// News of a branch that is still out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// The job has started.
+    Started,
+    /// This share of it is done.
+    Share(f64),
+    /// Part of what it makes, for the client.
+    Data(Bytes),
+    /// A warning for the client.
+    Warning(Bytes),
+}
+
+/// How a branch ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Done, with this result.
+    Served(Bytes),
+    /// The next hop failed at it; it may have run.
+    Error,
+    /// Turned away or handed back; it has not run.
+    TurnedAway,
+    /// It provably never reached the next hop.
+    NotConnected,
+    /// The connection ended before the result; it may have run.
+    Reset,
+    /// Not waited for any longer; it may have run or may yet.
+    TimedOut,
+}
+
+/// What happened.
+#[derive(Debug)]
+pub enum Event {
+    /// A client has handed in a transaction.
+    Submitted {
+        /// The client.
+        ticket: Ticket,
+        /// What it wants.
+        transaction: Transaction,
+    },
+    /// A client has left without its answer.
+    Left {
+        /// The client.
+        ticket: Ticket,
+    },
+    /// News of a branch.
+    News {
+        /// The branch.
+        branch: BranchId,
+        /// What it tells.
+        news: News,
+    },
+    /// A branch has ended.
+    Ended {
+        /// The branch.
+        branch: BranchId,
+        /// How.
+        ending: Ending,
+        /// The load report that came along.
+        report: Option<Report>,
+    },
+    /// A probe has ended.
+    Probed {
+        /// The next hop.
+        hop: WorkerId,
+        /// Number of the probe.
+        probe: u64,
+        /// How.
+        status: Status,
+        /// The load report that came along.
+        report: Option<Report>,
+    },
+    /// News of the route set.
+    Routes {
+        /// Who tells.
+        source: Source,
+        /// What it tells.
+        news: RouteNews,
+    },
+    /// The time asked for by [`Effect::Alarm`] has come.
+    Due,
+    /// The dispatcher is to stop.
+    Terminate,
+    /// No connection of a client is left.
+    FrontsClosed,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Start a branch; news of it and one ending come back.
+    Start {
+        /// The branch.
+        branch: BranchId,
+        /// The next hop.
+        hop: WorkerId,
+        /// Where it is.
+        reach: Reach,
+        /// Class of the job.
+        class: ClassId,
+        /// What it is to do.
+        job: Arc<Job>,
+        /// How long it will be waited for.
+        left: Micros,
+    },
+    /// Stop waiting for a branch, and close its connection; nothing comes back.
+    Cut {
+        /// The branch.
+        branch: BranchId,
+    },
+    /// Give a client its final answer.
+    Answer {
+        /// The client.
+        ticket: Ticket,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Pass news on to a client.
+    Tell {
+        /// The client.
+        ticket: Ticket,
+        /// The news.
+        news: News,
+    },
+    /// Probe a next hop; one result comes back.
+    Probe {
+        /// The next hop.
+        hop: WorkerId,
+        /// Number of the probe, to come back with its result.
+        probe: u64,
+        /// Where it is.
+        reach: Reach,
+    },
+    /// Close the idle connections to a next hop.
+    Disconnect {
+        /// The next hop.
+        hop: WorkerId,
+    },
+    /// See that the route set is being watched.
+    Watch,
+    /// Send [`Event::Due`] at this time; replaces any earlier one.
+    Alarm {
+        /// When.
+        at: Micros,
+    },
+    /// Requests can be served from now on.
+    Ready,
+    /// Take no new connection, and close those of clients as they fall idle.
+    CloseFronts,
+    /// All that was taken is answered: end the program.
+    Exit,
+    /// A line for the log.
+    Log(String),
+}
--- /dev/null
+++ b/src/core/reducer.rs
@@ -0,0 +1,420 @@
+//! The reducer: every change of state, in one place.
+
+use super::kept::{Kept, Known};
+use super::routes::RouteSet;
+use super::*;
+use crate::Balancer;
+use crate::api::{self, Action, Incoming, ListKind, Note, Outcome, Probed, Progress, RequestId};
+use crate::api::{Settings, SettingsError};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+/// A branch is not waited for up to the client's deadline, nor an answer: they must arrive before it.
+const BRANCH_MARGIN: Micros = 25_000;
+const ANSWER_MARGIN: Micros = 10_000;
+/// After a call to stop, clients still come for this long.
+const CROSSING: Micros = 600_000;
+/// Advice to come back where the module was not asked.
+const COME_BACK: Micros = 1_000_000;
+
+/// All that a dispatcher knows.
+pub struct Core {
+    balancer: Balancer,
+    max_attempts: usize,
+    routes: RouteSet,
+    transactions: BTreeMap<RequestId, Open>,
+    tickets: HashMap<Ticket, RequestId>,
+    branches: BTreeMap<BranchId, Branch>,
+    probes: BTreeMap<u64, (WorkerId, Micros)>,
+    kept: Kept,
+    timers: BTreeSet<(Micros, Timer)>,
+    wake_at: Option<Micros>,
+    alarm: Option<Micros>,
+    drain: Drain,
+    ready: bool,
+    last_id: u64,
+    pending: VecDeque<Told>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Branch(BranchId),
+    Transaction(RequestId),
+    Wake,
+    Crossed,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Drain {
+    Serving,
+    Crossing,
+    Closing { fronts_closed: bool },
+    Over,
+}
+
+/// What the balancer is to be told; lists borrow, the rest are events of its own.
+enum Told {
+    List(ListKind, Vec<WorkerId>),
+    Event(api::Event<'static>),
+}
+
+struct Open {
+    class: ClassId,
+    deadline: Micros,
+    job: Arc<Job>,
+    identity: Option<Identity>,
+    tickets: Vec<Ticket>,
+    attempts: usize,
+    out: usize,
+    answered: bool,
+}
+
+struct Branch {
+    request: RequestId,
+    attempt: usize,
+    hop: WorkerId,
+    sent: Micros,
+    until: Micros,
+}
+
+impl Core {
+    /// A core that knows no next hop yet.
+    pub fn new(settings: Settings, seed: u64, retention: Retention) -> Result<Core, SettingsError> {
+        Ok(Core {
+            max_attempts: settings.max_attempts,
+            balancer: Balancer::new(settings, seed)?,
+            routes: RouteSet::default(),
+            transactions: BTreeMap::new(),
+            tickets: HashMap::new(),
+            branches: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            kept: Kept::new(retention),
+            timers: BTreeSet::new(),
+            wake_at: None,
+            alarm: None,
+            drain: Drain::Serving,
+            ready: false,
+            last_id: 0,
+            pending: VecDeque::new(),
+        })
+    }
+
+    /// Takes one event in, and says what is to be done, in this order.
+    pub fn reduce(&mut self, now: Micros, event: Event) -> Vec<Effect> {
+        let mut out = Vec::new();
+        match event {
+            Event::Submitted { ticket, transaction } => self.submitted(now, ticket, transaction, &mut out),
+            Event::Left { ticket } => self.left(ticket),
+            Event::News { branch, news } => self.news(branch, news, &mut out),
+            Event::Ended { branch, ending, report } => self.ended(now, branch, ending, report, &mut out),
+            Event::Probed { hop, probe, status, report } => {
+                if let Some((_, sent)) = self.probes.remove(&probe).filter(|(h, _)| *h == hop) {
+                    let latency = now.saturating_sub(sent);
+                    self.tell(api::Event::Probed(Probed { worker: hop, status, latency, report }));
+                }
+            }
+            Event::Routes { source, news } => self.routes(source, news, &mut out),
+            Event::Due => self.due(now, &mut out),
+            Event::Terminate if self.drain == Drain::Serving => {
+                self.drain = Drain::Crossing;
+                self.timers.insert((now + CROSSING, Timer::Crossed));
+            }
+            Event::Terminate => {}
+            Event::FrontsClosed => {
+                if let Drain::Closing { fronts_closed } = &mut self.drain {
+                    *fronts_closed = true;
+                }
+            }
+        }
+        self.settle(now, &mut out);
+        if self.drain == (Drain::Closing { fronts_closed: true }) && self.tickets.is_empty() {
+            self.drain = Drain::Over;
+            out.push(Effect::Exit);
+        }
+        let first = self.timers.first().map(|(at, _)| *at);
+        if let Some(at) = first.filter(|_| first != self.alarm) {
+            out.push(Effect::Alarm { at });
+        }
+        self.alarm = first;
+        out
+    }
+
+    /// How many transactions run, branches are out, and clients wait.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        (self.transactions.len(), self.branches.len(), self.tickets.len())
+    }
+
+    fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    fn tell(&mut self, event: api::Event<'static>) {
+        self.pending.push_back(Told::Event(event));
+    }
+
+    /// Lets the balancer hear all it is to be told, and carries out what it wants.
+    fn settle(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let mut actions = Vec::new();
+        while let Some(told) = self.pending.pop_front() {
+            match told {
+                Told::Event(event) => self.balancer.handle(now, event, &mut actions),
+                Told::List(kind, hops) => {
+                    let entries: Vec<_> = hops.iter().map(|&h| self.routes.entry(h)).collect();
+                    self.balancer.handle(now, api::Event::List { kind, entries: &entries }, &mut actions);
+                }
+            }
+            for action in actions.drain(..) {
+                self.act(now, action, out);
+            }
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action, out: &mut Vec<Effect>) {
+        match action {
+            Action::Send { request, worker, timeout } => self.send(now, request, worker, timeout, out),
+            Action::Cancel { request, attempt } => {
+                let found = self.branches.iter().find(|(_, b)| b.request == request && b.attempt == attempt);
+                if let Some((&branch, _)) = found {
+                    out.push(Effect::Cut { branch });
+                    self.close_branch(now, branch, Status::Cancelled, None);
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                self.answer(now, request, Answer::Busy { retry_after }, out);
+            }
+            Action::Fail { request } => self.answer(now, request, Answer::Failed("not done in time"), out),
+            Action::Probe { worker } => {
+                let probe = self.next_id();
+                if let Some(reach) = self.routes.reach(worker).cloned() {
+                    self.probes.insert(probe, (worker, now));
+                    out.push(Effect::Probe { hop: worker, probe, reach });
+                }
+            }
+            Action::Disconnect { worker } => out.push(Effect::Disconnect { hop: worker }),
+            Action::Subscribe => out.push(Effect::Watch),
+            Action::Wake { after } => {
+                if let Some(at) = self.wake_at.take() {
+                    self.timers.remove(&(at, Timer::Wake));
+                }
+                self.wake_at = Some(now + after);
+                self.timers.insert((now + after, Timer::Wake));
+            }
+            Action::Log(line) => out.push(Effect::Log(line)),
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        request: RequestId,
+        hop: WorkerId,
+        timeout: Option<Micros>,
+        out: &mut Vec<Effect>,
+    ) {
+        let reach = self.routes.reach(hop).cloned();
+        let branch = BranchId(self.next_id());
+        let Some(open) = self.transactions.get_mut(&request) else { return };
+        let attempt = open.attempts;
+        open.attempts += 1;
+        open.out += 1;
+        let end = open.deadline.saturating_sub(BRANCH_MARGIN);
+        let until = timeout.filter(|&t| t > 0).map_or(end, |t| end.min(now + t));
+        let (class, job) = (open.class, open.job.clone());
+        // Prevents: a send for what is over, or past its attempts, reaches a next hop.
+        let moot = open.answered || until <= now || attempt >= self.max_attempts;
+        self.branches.insert(branch, Branch { request, attempt, hop, sent: now, until });
+        match reach {
+            Some(reach) if !moot => {
+                self.timers.insert((until, Timer::Branch(branch)));
+                let left = open.deadline.saturating_sub(now).min(until - now);
+                out.push(Effect::Start { branch, hop, reach, class, job, left });
+            }
+            _ => self.close_branch(now, branch, Status::Moot, None),
+        }
+    }
+
+    /// Books the one outcome of a branch. What comes for it later finds nothing.
+    fn close_branch(&mut self, now: Micros, branch: BranchId, status: Status, report: Option<Report>) {
+        let Some(Branch { request, attempt, hop, sent, until }) = self.branches.remove(&branch) else {
+            return;
+        };
+        self.timers.remove(&(until, Timer::Branch(branch)));
+        let mut closed = true;
+        if let Some(open) = self.transactions.get_mut(&request) {
+            open.out -= 1;
+            closed = open.answered;
+        }
+        let latency = now.saturating_sub(sent);
+        self.tell(api::Event::Outcome(Outcome {
+            request,
+            attempt,
+            worker: hop,
+            status,
+            latency,
+            closed,
+            report,
+        }));
+        self.forget(request);
+    }
+
+    fn forget(&mut self, request: RequestId) {
+        if self.transactions.get(&request).is_some_and(|o| o.answered && o.out == 0) {
+            self.transactions.remove(&request);
+        }
+    }
+
+    fn submitted(&mut self, now: Micros, ticket: Ticket, t: Transaction, out: &mut Vec<Effect>) {
+        if let Some(identity) = &t.identity {
+            match self.kept.look_up(now, identity) {
+                Known::New => {}
+                Known::Running(request) => {
+                    // Prevents: a client that lost its connection and asks again has its job run twice.
+                    if let Some(open) = self.transactions.get_mut(&request) {
+                        open.tickets.push(ticket);
+                        self.tickets.insert(ticket, request);
+                    }
+                    return;
+                }
+                Known::Over(answer) => return out.push(Effect::Answer { ticket, answer }),
+                Known::NoRoom => {
+                    let answer = Answer::Busy { retry_after: Some(COME_BACK) };
+                    return out.push(Effect::Answer { ticket, answer });
+                }
+            }
+        }
+        let request = RequestId(self.next_id());
+        if let Some(identity) = &t.identity {
+            self.kept.begin(identity.clone(), request);
+        }
+        let deadline = now.saturating_add(t.left);
+        self.timers.insert((deadline.saturating_sub(ANSWER_MARGIN), Timer::Transaction(request)));
+        self.tickets.insert(ticket, request);
+        self.transactions.insert(
+            request,
+            Open {
+                class: t.class,
+                deadline,
+                job: t.job,
+                identity: t.identity,
+                tickets: vec![ticket],
+                attempts: 0,
+                out: 0,
+                answered: false,
+            },
+        );
+        self.tell(api::Event::Request(Incoming {
+            request,
+            class: t.class,
+            left: t.left.saturating_sub(BRANCH_MARGIN),
+            slots: t.slots,
+            memory: t.memory,
+            work: None,
+        }));
+    }
+
+    /// Without an identity nobody can ask for the answer any more; with one, the job goes on for whoever
+    /// hands it in again.
+    fn left(&mut self, ticket: Ticket) {
+        let Some(request) = self.tickets.remove(&ticket) else { return };
+        let Some(open) = self.transactions.get_mut(&request) else { return };
+        open.tickets.retain(|t| *t != ticket);
+        if open.tickets.is_empty() && open.identity.is_none() && !open.answered {
+            self.end(request);
+            self.tell(api::Event::Gone { request });
+        }
+    }
+
+    /// No answer is owed for the transaction any more.
+    fn end(&mut self, request: RequestId) {
+        if let Some(open) = self.transactions.get_mut(&request) {
+            open.answered = true;
+            self.timers.remove(&(open.deadline.saturating_sub(ANSWER_MARGIN), Timer::Transaction(request)));
+        }
+        self.forget(request);
+    }
+
+    fn answer(&mut self, now: Micros, request: RequestId, answer: Answer, out: &mut Vec<Effect>) {
+        let Some(open) = self.transactions.get_mut(&request).filter(|o| !o.answered) else { return };
+        if let Some(identity) = open.identity.clone() {
+            self.kept.end(now, identity, &answer);
+        }
+        for ticket in std::mem::take(&mut open.tickets) {
+            self.tickets.remove(&ticket);
+            out.push(Effect::Answer { ticket, answer: answer.clone() });
+        }
+        self.end(request);
+    }
+
+    fn news(&mut self, branch: BranchId, news: News, out: &mut Vec<Effect>) {
+        let Some(b) = self.branches.get(&branch) else { return };
+        let (request, attempt, worker) = (b.request, b.attempt, b.hop);
+        let note = match news {
+            News::Started => Note::Started,
+            News::Share(share) => Note::Progress(share),
+            News::Data(_) | News::Warning(_) => Note::Progress(0.0),
+        };
+        if let Some(open) = self.transactions.get(&request) {
+            out.extend(open.tickets.iter().map(|&ticket| Effect::Tell { ticket, news: news.clone() }));
+        }
+        self.tell(api::Event::Note(Progress { request, attempt, worker, note }));
+    }
+
+    fn ended(
+        &mut self,
+        now: Micros,
+        branch: BranchId,
+        ending: Ending,
+        report: Option<Report>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.branches.get(&branch).map(|b| b.request) else { return };
+        let status = match ending {
+            Ending::Served(result) => {
+                self.answer(now, request, Answer::Served(result), out);
+                Status::Ok
+            }
+            Ending::Error => Status::Error,
+            Ending::TurnedAway => Status::Full,
+            Ending::NotConnected => Status::ConnectFailed,
+            Ending::Reset => Status::Reset,
+            Ending::TimedOut => Status::Timeout,
+        };
+        self.close_branch(now, branch, status, report);
+    }
+
+    fn routes(&mut self, source: Source, news: RouteNews, out: &mut Vec<Effect>) {
+        let told = !matches!(news, RouteNews::WarmCopy(_) | RouteNews::Lost);
+        let (kind, hops) = self.routes.apply(source, news);
+        self.pending.push_back(Told::List(kind, hops));
+        if !self.ready && (told || self.routes.any_ready()) {
+            self.ready = true;
+            out.push(Effect::Ready);
+        }
+    }
+
+    fn due(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        while let Some(&(at, timer)) = self.timers.first().filter(|(at, _)| *at <= now) {
+            self.timers.remove(&(at, timer));
+            match timer {
+                Timer::Wake => {
+                    self.wake_at = None;
+                    self.tell(api::Event::Wake);
+                }
+                Timer::Branch(branch) => {
+                    out.push(Effect::Cut { branch });
+                    self.close_branch(now, branch, Status::Timeout, None);
+                }
+                Timer::Transaction(request) => {
+                    // Prevents: a client is left without an answer whatever the decisions make of it.
+                    self.answer(now, request, Answer::Failed("not done in time"), out);
+                    self.tell(api::Event::Gone { request });
+                }
+                Timer::Crossed => {
+                    self.drain = Drain::Closing { fronts_closed: false };
+                    out.push(Effect::CloseFronts);
+                }
+            }
+            self.settle(now, out);
+        }
+    }
+}
--- /dev/null
+++ b/src/discovery/mod.rs
@@ -0,0 +1,237 @@
+//! Discovery: the route set as the platform's service lists it, by list and by watch.
+
+use crate::api::{Micros, WorkerState};
+use crate::core::{NextHop, Reach, RouteNews};
+use crate::log;
+use crate::settings::Conf;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{sleep, timeout};
+
+/// A call is answered within this time or has failed.
+const CALL: Duration = Duration::from_millis(2_500);
+/// Discovery sends a line every 2 s. One that is missing for this long tells that the watch is lost.
+const SILENCE: Duration = Duration::from_millis(3_000);
+/// Waits between calls that fail.
+const PAUSE_FIRST: Duration = Duration::from_millis(100);
+const PAUSE_MOST: Duration = Duration::from_millis(800);
+/// A line of a watch may be this long.
+const LINE_MOST: usize = 4 << 20;
+
+/// A list, or the changes to one, as discovery words it.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Listing {
+    /// Version.
+    pub index: u64,
+    /// It holds the whole list.
+    #[serde(default)]
+    pub snapshot: bool,
+    /// The lines.
+    pub endpoints: Vec<Endpoint>,
+}
+
+/// A line of a list.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[allow(missing_docs)] // the protocol words every key
+pub struct Endpoint {
+    pub name: String,
+    #[serde(default)]
+    pub address: String,
+    pub zone: Option<String>,
+    #[serde(rename = "type")]
+    pub kind: Option<String>,
+    pub group: Option<u64>,
+    pub status: Status,
+    pub weight: Option<f64>,
+    #[serde(default)]
+    pub since_ms: u64,
+}
+
+/// What discovery says of a next hop.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum Status {
+    Ready,
+    Draining,
+    Gone,
+}
+
+impl Listing {
+    /// The lines in the terms of the core. A line that names what the settings do not know can't be used.
+    pub fn hops(self, conf: &Conf) -> Vec<NextHop> {
+        let known = |e: &Endpoint| {
+            (conf.zone(e.zone.as_deref()), conf.kind(e.kind.as_deref()), e.status == Status::Gone)
+        };
+        self.endpoints
+            .into_iter()
+            .filter_map(|e| {
+                let (zone, kind) = match known(&e) {
+                    (Some(zone), Some(kind), _) => (zone, kind),
+                    // What is gone is gone wherever it was.
+                    (zone, kind, true) => (zone.unwrap_or_default(), kind.unwrap_or_default()),
+                    _ => {
+                        log!("discovery: {} has a zone or type that the settings lack", e.name);
+                        return None;
+                    }
+                };
+                Some(NextHop {
+                    name: e.name,
+                    reach: Reach::Address(e.address),
+                    zone,
+                    kind,
+                    cell: e.group,
+                    state: match e.status {
+                        Status::Ready => WorkerState::Ready,
+                        Status::Draining => WorkerState::Draining,
+                        Status::Gone => WorkerState::Gone,
+                    },
+                    ready_at: e.since_ms.saturating_mul(1_000) as Micros,
+                    size: e.weight.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0),
+                })
+            })
+            .collect()
+    }
+}
+
+/// Watches a discovery service and tells of its route set until the receiver is gone.
+pub struct Watcher {
+    /// Where the service is.
+    pub address: String,
+    /// What its words mean.
+    pub conf: Arc<Conf>,
+    /// The version that is known already.
+    pub index: u64,
+    /// Wakes the watcher from a pause.
+    pub nudge: Arc<Notify>,
+    /// Who is told.
+    pub tell: mpsc::UnboundedSender<RouteNews>,
+}
+
+enum Broken {
+    /// The call or the watch ended.
+    Ended(String),
+    /// It said something that can't be read: the next call asks for the whole list.
+    Malformed(String),
+    /// Nobody listens any more.
+    Unheard,
+}
+
+impl Watcher {
+    /// Lists and watches, again and again.
+    pub async fn run(mut self) {
+        let (mut pause, mut list_first) = (PAUSE_FIRST, false);
+        loop {
+            let before = self.index;
+            let broken = match self.round(list_first).await {
+                Ok(()) => Broken::Ended("the watch ended".into()),
+                Err(broken) => broken,
+            };
+            list_first = matches!(broken, Broken::Malformed(_));
+            match broken {
+                Broken::Unheard => return,
+                Broken::Ended(why) | Broken::Malformed(why) => log!("discovery: {why}"),
+            }
+            if self.tell.send(RouteNews::Lost).is_err() {
+                return;
+            }
+            pause = if self.index > before { PAUSE_FIRST } else { (pause * 2).min(PAUSE_MOST) };
+            let jitter = pause.mul_f64(0.5 + fastrand::f64());
+            let _ = timeout(jitter, self.nudge.notified()).await;
+            // Prevents: nudges that come close together turn into a storm of calls.
+            sleep(PAUSE_FIRST / 2).await;
+        }
+    }
+
+    async fn round(&mut self, list_first: bool) -> Result<(), Broken> {
+        let mut sender = self.connect().await?;
+        if list_first {
+            let mut body = self.call(&mut sender, "/api/targets").await?;
+            let mut text = Vec::new();
+            while let Some(frame) = next(&mut body, CALL).await? {
+                text.extend_from_slice(&frame);
+                check_length(&text)?;
+            }
+            self.heard(&text)?;
+            // The list may have left the connection unusable.
+            sender = self.connect().await?;
+        }
+        let path = format!("/api/targets?stream=1&index={}", self.index);
+        let mut body = self.call(&mut sender, &path).await?;
+        let mut line = Vec::new();
+        while let Some(frame) = next(&mut body, SILENCE).await? {
+            for part in frame.split_inclusive(|&b| b == b'\n') {
+                line.extend_from_slice(part);
+                check_length(&line)?;
+                if part.ends_with(b"\n") {
+                    self.heard(&std::mem::take(&mut line))?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn heard(&mut self, line: &[u8]) -> Result<(), Broken> {
+        if line.trim_ascii().is_empty() {
+            return Ok(());
+        }
+        let listing: Listing =
+            serde_json::from_slice(line).map_err(|e| Broken::Malformed(format!("malformed line: {e}")))?;
+        self.index = listing.index;
+        let whole = listing.snapshot;
+        let hops = listing.hops(&self.conf);
+        let news = if whole { RouteNews::Whole(hops) } else { RouteNews::Changes(hops) };
+        self.tell.send(news).map_err(|_| Broken::Unheard)
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, Broken> {
+        let ended = |e: &dyn std::fmt::Display| Broken::Ended(format!("cannot connect: {e}"));
+        let stream = timeout(CALL, TcpStream::connect(&self.address)).await;
+        let stream = stream.map_err(|e| ended(&e))?.map_err(|e| ended(&e))?;
+        let _ = stream.set_nodelay(true);
+        let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = shaken.map_err(|e| ended(&e))?;
+        // Ends when the sender and the body are dropped.
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    async fn call(&self, sender: &mut SendRequest<Empty<Bytes>>, path: &str) -> Result<Incoming, Broken> {
+        let request = Request::get(path)
+            .header("Host", &self.address)
+            .body(Empty::new())
+            .map_err(|e| Broken::Ended(format!("cannot ask: {e}")))?;
+        match timeout(CALL, sender.send_request(request)).await {
+            Ok(Ok(answer)) if answer.status().is_success() => Ok(answer.into_body()),
+            Ok(Ok(answer)) => Err(Broken::Ended(format!("answered {}", answer.status()))),
+            Ok(Err(e)) => Err(Broken::Ended(format!("call failed: {e}"))),
+            Err(_) => Err(Broken::Ended("no answer in time".into())),
+        }
+    }
+}
+
+fn check_length(line: &[u8]) -> Result<(), Broken> {
+    match line.len() > LINE_MOST {
+        true => Err(Broken::Malformed("a line without end".into())),
+        false => Ok(()),
+    }
+}
+
+/// The next part of a body; silence for too long is its end.
+async fn next(body: &mut Incoming, patience: Duration) -> Result<Option<Bytes>, Broken> {
+    match timeout(patience, body.frame()).await {
+        Err(_) => Err(Broken::Ended("silent for too long".into())),
+        Ok(None) => Ok(None),
+        Ok(Some(Err(e))) => Err(Broken::Ended(format!("broke: {e}"))),
+        Ok(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+    }
+}
--- /dev/null
+++ b/src/hop/line.rs
@@ -0,0 +1,124 @@
+//! A connection to a next hop that can be cut from outside, and the connector that opens it.
+
+use atomic_waker::AtomicWaker;
+use hyper::Uri;
+use hyper_util::client::legacy::connect::{Connected, Connection};
+use hyper_util::rt::TokioIo;
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tower_service::Service;
+
+/// Cuts a line. Prevents: hyper notices only at the next line of the answer that nobody wants it any more, and
+/// until then the branch is still out at the next hop.
+#[derive(Clone, Default)]
+pub struct Cutter(Arc<Cut>);
+
+#[derive(Default)]
+struct Cut {
+    done: AtomicBool,
+    reader: AtomicWaker,
+}
+
+impl Cutter {
+    /// Ends the connection at once.
+    pub fn cut(&self) {
+        self.0.done.store(true, Ordering::Release);
+        self.0.reader.wake();
+    }
+}
+
+/// A connection to a next hop.
+pub struct Line {
+    stream: TcpStream,
+    cutter: Cutter,
+}
+
+impl Line {
+    fn check(&self) -> io::Result<()> {
+        match self.cutter.0.done.load(Ordering::Acquire) {
+            true => Err(io::ErrorKind::ConnectionAborted.into()),
+            false => Ok(()),
+        }
+    }
+}
+
+impl Connection for Line {
+    fn connected(&self) -> Connected {
+        Connected::new().extra(self.cutter.clone())
+    }
+}
+
+impl AsyncRead for Line {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.cutter.0.reader.register(cx.waker());
+        self.check()?;
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Line {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.check()?;
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.check()?;
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// Opens lines to one next hop, within a time.
+#[derive(Clone)]
+pub struct Connector {
+    /// How long a connection may take to come up.
+    pub patience: Duration,
+}
+
+impl Service<Uri> for Connector {
+    type Response = TokioIo<Line>;
+    type Error = io::Error;
+    type Future = Pin<Box<dyn Future<Output = io::Result<TokioIo<Line>>> + Send>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let patience = self.patience;
+        Box::pin(async move {
+            let host = uri.host().unwrap_or_default().trim_matches(['[', ']']).to_owned();
+            let open = TcpStream::connect((host, uri.port_u16().unwrap_or(80)));
+            let stream = tokio::time::timeout(patience, open).await??;
+            stream.set_nodelay(true)?;
+            Ok(TokioIo::new(Line { stream, cutter: Cutter::default() }))
+        })
+    }
+}
--- /dev/null
+++ b/src/hop/mod.rs
@@ -0,0 +1,310 @@
+//! Next hops: sync workers reached over HTTP, each through a client of its own.
+
+mod line;
+
+use crate::api::{Report, Status};
+use crate::core::{Ending, Job, News};
+use crate::log;
+use crate::settings::Conf;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
+use hyper_util::client::legacy::{Client, Error};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use line::{Connector, Cutter};
+use serde::Deserialize;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// A probe is answered within this time or has failed.
+const PROBE: Duration = Duration::from_millis(500);
+/// A line of an answer may be this long, and a load report.
+const LINE_MOST: usize = 1 << 20;
+const REPORT_MOST: usize = 16 << 10;
+/// After the last line an answer ends within this time, or its connection is not used again.
+const TAIL: Duration = Duration::from_millis(500);
+
+/// How connections to next hops are kept.
+#[derive(Clone, Copy, Debug)]
+pub struct Keeping {
+    /// A connection comes up within this time.
+    pub connect: Duration,
+    /// An idle connection is closed after this time.
+    pub idle: Duration,
+    /// At most this many idle connections to one next hop.
+    pub most_idle: usize,
+}
+
+/// The client of one next hop. Dropping it closes its idle connections.
+#[derive(Clone)]
+pub struct Hop {
+    client: Client<Connector, Full<Bytes>>,
+    address: String,
+}
+
+/// A line of an answer.
+#[derive(Deserialize)]
+struct Line {
+    id: String,
+    #[serde(flatten)]
+    state: State,
+    load: Option<serde_json::Map<String, serde_json::Value>>,
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "state", rename_all = "snake_case")]
+enum State {
+    Started,
+    Running {
+        #[serde(default)]
+        share: f64,
+    },
+    Done {
+        #[serde(default)]
+        result: String,
+    },
+    Failed,
+    Returned,
+    Lost,
+}
+
+/// Where news of a branch goes, and its one ending.
+pub trait Teller: Send + 'static {
+    /// News while it is out.
+    fn news(&self, news: News);
+    /// Its end.
+    fn ended(&mut self, ending: Ending, report: Option<Report>);
+}
+
+/// Cuts a branch's connection, once it has one.
+#[derive(Clone)]
+pub struct Branch {
+    captured: CaptureConnection,
+}
+
+impl Branch {
+    /// Closes the connection that the branch is on.
+    pub fn cut(&self) {
+        if let Some(connected) = &*self.captured.connection_metadata() {
+            let mut extensions = hyper::http::Extensions::new();
+            connected.get_extras(&mut extensions);
+            if let Some(cutter) = extensions.get::<Cutter>() {
+                cutter.cut();
+            }
+        }
+    }
+}
+
+impl Hop {
+    /// A client for the next hop at this address.
+    pub fn new(address: &str, keeping: Keeping) -> Hop {
+        let client = Client::builder(TokioExecutor::new())
+            // Prevents: a request that is sent again unseen is an attempt that nobody counted.
+            .retry_canceled_requests(false)
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(keeping.idle)
+            .pool_max_idle_per_host(keeping.most_idle)
+            .build(Connector { patience: keeping.connect });
+        Hop { client, address: address.to_owned() }
+    }
+
+    /// Its address.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// A branch, to be driven by the future; it tells one ending unless it is dropped first.
+    pub fn branch<T: Teller>(
+        &self,
+        job: &Job,
+        left: Duration,
+        mut teller: T,
+    ) -> Result<(Branch, impl Future<Output = ()> + Send + use<T>), hyper::http::Error> {
+        let mut request = Request::post(format!("http://{}{}", self.address, job.path))
+            .header("X-Txn", &job.id)
+            .header("X-Remaining-Ms", left.as_millis() as u64)
+            .body(Full::new(job.body.clone()))?;
+        let branch = Branch { captured: capture_connection(&mut request) };
+        let (client, id, of) = (self.client.clone(), job.id.clone(), branch.clone());
+        let address = self.address.clone();
+        let drive = async move {
+            match client.request(request).await {
+                Ok(answer) if answer.status() == StatusCode::OK => {
+                    let mut body = answer.into_body();
+                    if !follow(&mut body, &id, &address, &mut teller).await {
+                        of.cut();
+                        return;
+                    }
+                    // Prevents: a connection whose answer was not read to its end is closed, and each
+                    // branch pays for a new one.
+                    let rest = async { while matches!(body.frame().await, Some(Ok(_))) {} };
+                    let _ = timeout(TAIL, rest).await;
+                }
+                Ok(answer) => {
+                    let report = header_report(&answer);
+                    let ending = refusal(&answer);
+                    let _ = timeout(TAIL, answer.into_body().collect()).await;
+                    teller.ended(ending, report);
+                }
+                Err(e) => {
+                    let ending = broken(&e, &of);
+                    log!("hop {address}: {id}: {ending:?}: {}", chain(&e));
+                    teller.ended(ending, None);
+                }
+            }
+        };
+        Ok((branch, drive))
+    }
+
+    /// Asks for the load report.
+    pub async fn probe(&self) -> (Status, Option<Report>) {
+        let request = Request::get(format!("http://{}/-/load", self.address)).body(Full::default());
+        let Ok(mut request) = request else { return (Status::ConnectFailed, None) };
+        let branch = Branch { captured: capture_connection(&mut request) };
+        let asked = async {
+            let answer = match self.client.request(request).await {
+                Ok(answer) => answer,
+                Err(e) if e.is_connect() => return (Status::ConnectFailed, None),
+                Err(_) => return (Status::Reset, None),
+            };
+            let (status, turned_away) = (answer.status(), answer.headers().contains_key("x-turned-away"));
+            let header = header_report(&answer);
+            let body = http_body_util::Limited::new(answer.into_body(), REPORT_MOST).collect().await;
+            let report = body.ok().and_then(|b| read_report(&b.to_bytes())).or(header);
+            match status {
+                StatusCode::OK => (Status::Ok, report),
+                StatusCode::SERVICE_UNAVAILABLE if turned_away => (Status::Full, report),
+                _ => (Status::Error, report),
+            }
+        };
+        match timeout(PROBE, asked).await {
+            Ok(result) => result,
+            Err(_) => {
+                branch.cut();
+                (Status::Timeout, None)
+            }
+        }
+    }
+}
+
+/// Reads an answer up to its last line; whether its connection may be used again.
+async fn follow(body: &mut Incoming, id: &str, address: &str, teller: &mut impl Teller) -> bool {
+    let mut line = Vec::new();
+    loop {
+        let frame = match body.frame().await {
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            Some(Err(e)) => {
+                log!("hop {address}: {id}: broke: {}", chain(&e));
+                teller.ended(Ending::Reset, None);
+                return false;
+            }
+            None => {
+                log!("hop {address}: {id}: ended without a last line");
+                teller.ended(Ending::Reset, None);
+                return false;
+            }
+        };
+        for part in frame.split_inclusive(|&b| b == b'\n') {
+            line.extend_from_slice(part);
+            if !part.ends_with(b"\n") {
+                continue;
+            }
+            let text = std::mem::take(&mut line);
+            if text.trim_ascii().is_empty() {
+                continue;
+            }
+            let read = serde_json::from_slice::<Line>(&text);
+            let Line { state, load, .. } = match read {
+                Ok(read) if read.id == id => read,
+                Ok(read) => {
+                    log!("hop {address}: {id}: a line for {}", read.id);
+                    teller.ended(Ending::Reset, None);
+                    return false;
+                }
+                Err(e) => {
+                    log!("hop {address}: {id}: malformed line: {e}");
+                    teller.ended(Ending::Reset, None);
+                    return false;
+                }
+            };
+            let report = load.map(|load| {
+                Conf::report(load.iter().filter_map(|(name, value)| Some((name.as_str(), value.as_f64()?))))
+            });
+            let ending = match state {
+                State::Started => {
+                    teller.news(News::Started);
+                    continue;
+                }
+                State::Running { share } => {
+                    teller.news(News::Share(share));
+                    continue;
+                }
+                State::Done { result } => Ending::Served(result.into()),
+                State::Failed => Ending::Error,
+                State::Returned => Ending::TurnedAway,
+                State::Lost => Ending::Reset,
+            };
+            teller.ended(ending, report);
+            return true;
+        }
+        if line.len() > LINE_MOST {
+            log!("hop {address}: {id}: a line without end");
+            teller.ended(Ending::Reset, None);
+            return false;
+        }
+    }
+}
+
+/// What an answer that is not 200 says.
+fn refusal(answer: &Response<Incoming>) -> Ending {
+    let unseen = answer.headers().get("x-turned-away").is_some_and(|v| v == "1");
+    match answer.status() {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => Ending::TurnedAway,
+        _ => Ending::Error,
+    }
+}
+
+/// What an error proves. It never ran if there was no connection, or if hyper gave the request back unwritten.
+fn broken(e: &Error, branch: &Branch) -> Ending {
+    let mut source = std::error::Error::source(e);
+    let mut unwritten = e.is_connect() || branch.captured.connection_metadata().is_none();
+    while let Some(e) = source {
+        unwritten |= e.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_canceled);
+        source = e.source();
+    }
+    if unwritten { Ending::NotConnected } else { Ending::Reset }
+}
+
+fn chain(e: &dyn std::error::Error) -> String {
+    let mut text = e.to_string();
+    let mut source = e.source();
+    while let Some(e) = source {
+        text = format!("{text}: {e}");
+        source = e.source();
+    }
+    text
+}
+
+fn header_report(answer: &Response<Incoming>) -> Option<Report> {
+    read_report(answer.headers().get("x-pressure")?.as_bytes())
+}
+
+/// A load report: `name=value,name=value`, or a JSON object.
+fn read_report(text: &[u8]) -> Option<Report> {
+    let text = std::str::from_utf8(text).ok()?.trim();
+    if text.starts_with('{') {
+        let values: serde_json::Map<String, serde_json::Value> = serde_json::from_str(text).ok()?;
+        let values = values.iter().filter_map(|(name, value)| Some((name.as_str(), value.as_f64()?)));
+        return Some(Conf::report(values));
+    }
+    let pairs: Vec<(&str, f64)> = text
+        .split(',')
+        .filter_map(|pair| {
+            let (name, value) = pair.split_once('=')?;
+            Some((name.trim(), value.trim().parse().ok()?))
+        })
+        .collect();
+    (!pairs.is_empty()).then(|| Conf::report(pairs.into_iter()))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -101,6 +101,14 @@
 
 pub mod api;
 mod balance;
+pub mod config;
+pub mod core;
+pub mod discovery;
+pub mod front;
+pub mod hop;
+pub mod log;
+pub mod settings;
+pub mod shell;
 mod state;
 
 pub use balance::Balancer;
