Gearman front on the same core: clients, workers as next hops, admin commands

Functions map to classes; a worker session is a next hop for as long as it lasts, of a kind that stands for the set of classes it can do. Jobs with a unique id join the running transaction or get the kept answer; background jobs are not taken, for nobody would get their final answer.

Tests play scenarios on loopback in a small language (tests/stage): send, expect, close, wait. Seen while writing the mixed test: HTTP imports that came with 5 s left beside Gearman ones with 6 s were answered busy at once. Checked with a trace of events and effects: the decisions take the longest time left of a class for a first try's, and a shorter one for a second try that has waited (on_request: start). Ruled out: worker state, the Gearman kinds. Conclusion: no fault; both fronts must hand in the class's own deadline, which the Gearman front does. The mixed test: 48 transactions over both fronts, equal counts served on either, no import ran twice.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,10 +1,12 @@
 //! The one place where configuration is read, checked and given defaults. Every message names its key.
 
-use crate::api::Settings;
+use crate::api::{ClassId, Micros, Settings};
+use crate::core::Retention;
 use crate::discovery::Listing;
 use crate::settings::Conf;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -179,3 +181,129 @@
         })
     }
 }
+
+/// The file that switches the Gearman front on, as written.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GearmanWritten {
+    listen: String,
+    #[serde(default = "connections")]
+    connections: usize,
+    #[serde(default = "jobs")]
+    jobs: usize,
+    #[serde(default = "retention_s")]
+    retention_s: u64,
+    #[serde(default = "kept_answers")]
+    kept_answers: usize,
+    #[serde(default = "kept_mb")]
+    kept_mb: usize,
+    #[serde(default)]
+    functions: BTreeMap<String, FunctionWritten>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FunctionWritten {
+    class: String,
+    #[serde(default = "slots")]
+    slots: f64,
+    deadline_ms: Option<u64>,
+}
+
+fn connections() -> usize {
+    64
+}
+
+fn jobs() -> usize {
+    256
+}
+
+fn retention_s() -> u64 {
+    600
+}
+
+fn kept_answers() -> usize {
+    10_000
+}
+
+fn kept_mb() -> usize {
+    16
+}
+
+fn slots() -> f64 {
+    1.0
+}
+
+/// How the Gearman front is set up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GearmanConfig {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Connections it serves, of clients and workers together.
+    pub connections: usize,
+    /// Jobs of its clients that may run at once.
+    pub jobs: usize,
+    /// What is kept for clients that come again.
+    pub retention: Retention,
+    /// The functions it knows.
+    pub functions: BTreeMap<String, Function>,
+}
+
+/// What a Gearman function stands for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Function {
+    /// Its class.
+    pub class: ClassId,
+    /// Slots that a job takes.
+    pub slots: f64,
+    /// Time that a job has.
+    pub left: Micros,
+}
+
+impl GearmanConfig {
+    /// Reads the file; `inbound` is how many connections of clients the process may serve.
+    pub fn from_file(file: &Path, conf: &Conf, inbound: usize) -> Result<GearmanConfig, ConfigError> {
+        let written: GearmanWritten = read_toml(file)?;
+        let positive = |key: &str, n: usize, most: usize| match (1..=most).contains(&n) {
+            true => Ok(()),
+            false => Err(bad(key, format!("{n} is not between 1 and {most}"))),
+        };
+        positive("connections", written.connections, inbound / 2)?;
+        positive("jobs", written.jobs, 1_024)?;
+        positive("retention_s", written.retention_s as usize, 86_400)?;
+        positive("kept_answers", written.kept_answers, 100_000)?;
+        positive("kept_mb", written.kept_mb, 64)?;
+        let mut functions = BTreeMap::new();
+        for (name, f) in written.functions {
+            let key = |part: &str| format!("functions.{name}.{part}");
+            let class = conf.class(&f.class);
+            let class = class.ok_or_else(|| bad(&key("class"), format!("unknown class {}", f.class)))?;
+            if !(f.slots > 0.0 && f.slots <= 1_000.0) {
+                return Err(bad(&key("slots"), format!("{} is not a number of slots", f.slots)));
+            }
+            let most = conf.lanes[class].deadline_us;
+            let left = f.deadline_ms.map_or(most, |ms| ms.saturating_mul(1_000));
+            if left == 0 || left > most {
+                return Err(bad(&key("deadline_ms"), format!("not between 1 and {}", most / 1_000)));
+            }
+            functions.insert(name, Function { class: ClassId(class), slots: f.slots, left });
+        }
+        if functions.is_empty() {
+            let own = |(n, lane): (usize, &crate::settings::Lane)| {
+                (lane.name.clone(), Function { class: ClassId(n), slots: 1.0, left: lane.deadline_us })
+            };
+            functions = conf.lanes.iter().enumerate().map(own).collect();
+        }
+        Ok(GearmanConfig {
+            listen: address("listen", &written.listen)?,
+            connections: written.connections,
+            jobs: written.jobs,
+            retention: Retention {
+                time: written.retention_s * 1_000_000,
+                entries: written.kept_answers,
+                bytes: written.kept_mb << 20,
+            },
+            functions,
+        })
+    }
+}
--- a/src/core/kept.rs
+++ b/src/core/kept.rs
@@ -68,6 +68,10 @@
         }
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.known.len()
+    }
+
     pub(super) fn begin(&mut self, identity: Identity, request: RequestId) {
         self.known.insert(identity, Entry::Running(request));
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -96,6 +96,17 @@
     TimedOut,
 }
 
+/// How things stand, for those who look after the dispatcher.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Overview {
+    /// For each class, transactions that run, and those of them with a branch out.
+    pub classes: Vec<(usize, usize)>,
+    /// The route set.
+    pub hops: Vec<NextHop>,
+    /// Answers kept for clients that come again.
+    pub kept: usize,
+}
+
 /// What happened.
 #[derive(Debug)]
 pub enum Event {
--- a/src/core/reducer.rs
+++ b/src/core/reducer.rs
@@ -20,6 +20,7 @@
 pub struct Core {
     balancer: Balancer,
     max_attempts: usize,
+    classes: usize,
     routes: RouteSet,
     transactions: BTreeMap<RequestId, Open>,
     tickets: HashMap<Ticket, RequestId>,
@@ -81,6 +82,7 @@
     pub fn new(settings: Settings, seed: u64, retention: Retention) -> Result<Core, SettingsError> {
         Ok(Core {
             max_attempts: settings.max_attempts,
+            classes: settings.classes.len(),
             balancer: Balancer::new(settings, seed)?,
             routes: RouteSet::default(),
             transactions: BTreeMap::new(),
@@ -138,9 +140,14 @@
         out
     }
 
-    /// How many transactions run, branches are out, and clients wait.
-    pub fn counts(&self) -> (usize, usize, usize) {
-        (self.transactions.len(), self.branches.len(), self.tickets.len())
+    /// How things stand.
+    pub fn overview(&self) -> Overview {
+        let mut classes = vec![(0, 0); self.classes];
+        for open in self.transactions.values().filter(|o| !o.answered) {
+            classes[open.class.0].0 += 1;
+            classes[open.class.0].1 += usize::from(open.out > 0);
+        }
+        Overview { classes, hops: self.routes.hops().cloned().collect(), kept: self.kept.len() }
     }
 
     fn next_id(&mut self) -> u64 {
--- a/src/core/routes.rs
+++ b/src/core/routes.rs
@@ -68,8 +68,12 @@
         self.hops.get(hop.0 as usize).map(|(_, h)| &h.reach)
     }
 
+    pub(super) fn hops(&self) -> impl Iterator<Item = &NextHop> {
+        self.hops.iter().map(|(_, h)| h)
+    }
+
     pub(super) fn any_ready(&self) -> bool {
-        self.hops.iter().any(|(_, h)| h.state == WorkerState::Ready)
+        self.hops().any(|h| h.state == WorkerState::Ready)
     }
 
     /// Takes the news in; the lines that the decisions are to be told of, and as what.
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -28,7 +28,7 @@
 const LINE_MOST: usize = 4 << 20;
 
 /// A list, or the changes to one, as discovery words it.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 pub struct Listing {
     /// Version.
     pub index: u64,
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -109,7 +109,8 @@
     }
 }
 
-async fn closed(closing: &mut Closing) {
+/// Waits until the fronts are to close.
+pub async fn closed(closing: &mut Closing) {
     let _ = closing.wait_for(|c| *c).await;
 }
 
@@ -181,6 +182,11 @@
             _ => {}
         }
     }
+    // Prevents: a body that is too large is waited for before it is turned down.
+    let length = header(headers, "content-length")?.and_then(|l| l.parse::<usize>().ok());
+    if length.is_some_and(|l| l > BODY_MOST) {
+        return Err(Bad(StatusCode::PAYLOAD_TOO_LARGE, "a body holds 64 KiB at most"));
+    }
     let body = tokio::time::timeout(BODY_PATIENCE, Bytes::from_request(request, &())).await;
     let body = body.map_err(|_| Bad(StatusCode::REQUEST_TIMEOUT, "the body took too long"))?;
     let body = body.map_err(|e| Bad(e.status(), "the body can't be read"))?;
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,8 +1,9 @@
 //! The fronts: how clients hand in transactions and get their answers. All meet the same core.
 
+pub mod gearman;
 pub mod http;
 
-use crate::core::{Answer, Event, News, Ticket, Transaction};
+use crate::core::{Answer, Event, News, Overview, Ticket, Transaction};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::{mpsc, oneshot};
@@ -23,6 +24,8 @@
         /// Where news goes.
         news: Option<mpsc::UnboundedSender<News>>,
     },
+    /// Somebody wants to know how things stand.
+    Asked(oneshot::Sender<Overview>),
 }
 
 /// The way from the fronts into the core.
@@ -44,6 +47,13 @@
         let _ = self.heard.send(Heard::Event(event));
     }
 
+    /// How things stand.
+    pub async fn overview(&self) -> Overview {
+        let (answer, answered) = oneshot::channel();
+        let _ = self.heard.send(Heard::Asked(answer));
+        answered.await.unwrap_or_default()
+    }
+
     /// Hands a transaction in.
     pub fn submit(&self, transaction: Transaction, news: Option<mpsc::UnboundedSender<News>>) -> Waiting {
         let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
@@ -62,6 +72,11 @@
 }
 
 impl Waiting {
+    /// What the core knows the client by.
+    pub fn ticket(&self) -> Ticket {
+        self.ticket
+    }
+
     /// The final answer.
     pub async fn answer(mut self) -> Answer {
         let answer = (&mut self.answered).await;
--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -3,9 +3,10 @@
 mod line;
 
 use crate::api::{Report, Status};
+use crate::config::Sockets;
 use crate::core::{Ending, Job, News};
 use crate::log;
-use crate::settings::Conf;
+use crate::settings::{Conf, Limits};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -37,6 +38,19 @@
     pub most_idle: usize,
 }
 
+impl Keeping {
+    /// What the settings and the share of descriptors ask for.
+    pub fn new(limits: &Limits, sockets: &Sockets) -> Keeping {
+        let or = |us, default| Duration::from_micros(if us == 0 { default } else { us });
+        Keeping {
+            connect: or(limits.connect_timeout_us, 1_000_000),
+            // Prevents: a request is written to a connection that the other side has just dropped as idle.
+            idle: or(limits.conn_idle_us * 2 / 3, 5_000_000),
+            most_idle: (sockets.idle / 32).max(2),
+        }
+    }
+}
+
 /// The client of one next hop. Dropping it closes its idle connections.
 #[derive(Clone)]
 pub struct Hop {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,8 +1,11 @@
 //! The command line.
 
 use argh::FromArgs;
-use pumiceway::config::Config;
+use pumiceway::config::{Config, GearmanConfig};
+use pumiceway::shell::Dispatcher;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Dispatches sync jobs to channel workers.
 #[derive(FromArgs)]
@@ -22,12 +25,20 @@
 /// Serve until told to stop.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
-struct Serve {}
+struct Serve {
+    /// file that switches the Gearman front on
+    #[argh(option)]
+    gearman: Option<PathBuf>,
+}
 
 /// Read the configuration, say what is wrong with it, and end.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check-config")]
-struct CheckConfig {}
+struct CheckConfig {
+    /// file that switches the Gearman front on
+    #[argh(option)]
+    gearman: Option<PathBuf>,
+}
 
 /// Print the version.
 #[derive(FromArgs)]
@@ -36,8 +47,10 @@
 
 fn main() -> ExitCode {
     let result = match argh::from_env::<Args>().command {
-        Command::Serve(Serve {}) => serve(),
-        Command::CheckConfig(CheckConfig {}) => config().map(|c| println!("{}: good", c.name)),
+        Command::Serve(Serve { gearman }) => serve(gearman.as_deref()),
+        Command::CheckConfig(CheckConfig { gearman }) => {
+            config(gearman.as_deref()).map(|(c, _)| println!("{}: good", c.name))
+        }
         Command::Version(Version {}) => {
             println!("pumiceway {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -52,13 +65,26 @@
     }
 }
 
-fn config() -> Result<Config, String> {
-    Config::from_environment(|key| std::env::var(key).ok()).map_err(|e| e.to_string())
+fn config(gearman: Option<&Path>) -> Result<(Config, Option<GearmanConfig>), String> {
+    let config = Config::from_environment(|key| std::env::var(key).ok()).map_err(|e| e.to_string())?;
+    let gearman = gearman.map(|file| GearmanConfig::from_file(file, &config.conf, config.sockets.inbound));
+    Ok((config, gearman.transpose().map_err(|e| e.to_string())?))
 }
 
-fn serve() -> Result<(), String> {
-    let config = config()?;
+fn serve(gearman: Option<&Path>) -> Result<(), String> {
+    let (config, gearman) = config(gearman)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
-    runtime.block_on(pumiceway::shell::run(config)).map_err(|e| e.to_string())
+    let run = async {
+        let (mut terminate, mut interrupt) =
+            (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+        let stop = async {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        };
+        Dispatcher::bind(config, gearman).await?.run(stop).await
+    };
+    runtime.block_on(run).map_err(|e: std::io::Error| e.to_string())
 }
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -1,24 +1,27 @@
 //! The shell: carries out what the core asks for, and tells it what has become of it.
 
-use crate::api::{Micros, Report, WorkerId};
-use crate::config::Config;
+use crate::api::{ClassId, Micros, Report, Status, WorkerId};
+use crate::config::{Config, GearmanConfig};
 use crate::core::Ticket;
 use crate::core::{
     Answer, BranchId, Core, Effect, Ending, Event, Job, News, Reach, Retention, RouteNews, Source,
 };
 use crate::discovery::Watcher;
+use crate::front::gearman::Gearman;
+use crate::front::gearman::workers::{Kinds, Workers};
 use crate::front::http::Front;
 use crate::front::{Gate, Heard};
 use crate::hop::{self, Hop, Keeping, Teller};
 use crate::log;
 use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinSet};
 
 /// The module's clock: Unix time at the start, and from then on only forward.
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +53,7 @@
     core: Core,
     gate: Gate,
     keeping: Keeping,
+    workers: Option<Workers>,
     hops: HashMap<WorkerId, Hop>,
     branches: HashMap<BranchId, (hop::Branch, AbortHandle)>,
     waiting: HashMap<Ticket, (oneshot::Sender<Answer>, Option<mpsc::UnboundedSender<News>>)>,
@@ -75,77 +79,107 @@
     }
 }
 
-/// Runs the dispatcher until it has been told to stop and all it had taken is answered.
-pub async fn run(config: Config) -> std::io::Result<()> {
-    let clock = Clock::start();
-    let core = Core::new(config.settings.clone(), config.seed, Retention::default())
-        .map_err(|e| std::io::Error::other(e.to_string()))?;
-    let listener = TcpListener::bind(config.listen).await?;
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let (gate, mut heard) = Gate::new();
-    let (close, closing) = watch::channel(false);
-    let limits = &config.conf.limits;
-    let keeping = Keeping {
-        connect: Duration::from_micros(match limits.connect_timeout_us {
-            0 => 1_000_000,
-            us => us,
-        }),
-        // Prevents: a request is written to a connection that the other side has just dropped as idle.
-        idle: Duration::from_micros(match limits.conn_idle_us {
-            0 => 5_000_000,
-            us => us * 2 / 3,
-        }),
-        most_idle: (config.sockets.idle / 32).max(2),
-    };
-    let mut shell = Shell {
-        clock,
-        core,
-        gate: gate.clone(),
-        keeping,
-        hops: HashMap::new(),
-        branches: HashMap::new(),
-        waiting: HashMap::new(),
-        nudge: Arc::default(),
-        ready: Arc::default(),
-        close,
-        alarm: None,
-        exit: false,
-    };
-    let known =
-        config.known.unwrap_or(crate::discovery::Listing { index: 0, snapshot: true, endpoints: vec![] });
-    let index = known.index;
-    let routes = |news| Event::Routes { source: Source::Discovery, news };
-    shell.feed(routes(RouteNews::WarmCopy(known.hops(&config.conf))));
-    let (tell, mut told) = mpsc::unbounded_channel();
-    if let Some(address) = config.discovery {
-        let (conf, nudge) = (config.conf.clone(), shell.nudge.clone());
-        tokio::spawn(Watcher { address, conf, index, nudge, tell }.run());
-    } else {
-        drop(tell);
-        shell.feed(routes(RouteNews::Changes(vec![])));
+/// A dispatcher whose listeners are bound.
+pub struct Dispatcher {
+    config: Config,
+    gearman: Option<(GearmanConfig, TcpListener)>,
+    listener: TcpListener,
+}
+
+impl Dispatcher {
+    /// Binds the listeners that the configuration names.
+    pub async fn bind(config: Config, gearman: Option<GearmanConfig>) -> io::Result<Dispatcher> {
+        let listener = TcpListener::bind(config.listen).await?;
+        let gearman = match gearman {
+            Some(gearman) => {
+                let listener = TcpListener::bind(gearman.listen).await?;
+                Some((gearman, listener))
+            }
+            None => None,
+        };
+        Ok(Dispatcher { config, gearman, listener })
+    }
+
+    /// Where the HTTP front and the Gearman front listen.
+    pub fn addresses(&self) -> io::Result<(SocketAddr, Option<SocketAddr>)> {
+        let gearman = self.gearman.as_ref().map(|(_, listener)| listener.local_addr()).transpose()?;
+        Ok((self.listener.local_addr()?, gearman))
     }
-    let front = Front { gate: gate.clone(), conf: config.conf.clone(), ready: shell.ready.clone() };
-    let sockets = config.sockets;
-    tokio::spawn(async move {
-        front.serve(listener, sockets, closing).await;
-        gate.tell(Event::FrontsClosed);
-    });
-    log!("{} listens at {}", config.name, config.listen);
-    while !shell.exit {
-        let alarm = shell.alarm.map(|at| tokio::time::Instant::from_std(clock.instant(at)));
-        tokio::select! {
-            Some(heard) = heard.recv() => shell.hear(heard),
-            Some(news) = told.recv() => shell.feed(routes(news)),
-            _ = tokio::time::sleep_until(alarm.unwrap_or_else(tokio::time::Instant::now)), if alarm.is_some() => {
-                shell.alarm = None;
-                shell.feed(Event::Due);
+
+    /// Serves until told to stop and all that was taken is answered.
+    pub async fn run(self, stop: impl Future<Output = ()>) -> io::Result<()> {
+        let Dispatcher { mut config, gearman, listener } = self;
+        let clock = Clock::start();
+        let (gate, mut heard) = Gate::new();
+        let (close, closing) = watch::channel(false);
+        let mut retention = Retention::default();
+        let mut fronts = JoinSet::new();
+        let mut workers = None;
+        if let Some((gearman, listener)) = gearman {
+            retention = gearman.retention;
+            config.sockets.inbound -= gearman.connections.min(config.sockets.inbound / 2);
+            let kinds = Kinds::add(&mut config.settings)
+                .ok_or_else(|| io::Error::other("gearman: too many classes to tell workers apart by"))?;
+            let sessions = Workers::new(gate.clone(), kinds);
+            workers = Some(sessions.clone());
+            let front = Gearman::new(gate.clone(), config.conf.clone(), gearman, sessions);
+            fronts.spawn(front.serve(listener, closing.clone(), move || clock.now()));
+        }
+        let core = Core::new(config.settings, config.seed, retention);
+        let mut shell = Shell {
+            clock,
+            core: core.map_err(|e| io::Error::other(e.to_string()))?,
+            gate: gate.clone(),
+            keeping: Keeping::new(&config.conf.limits, &config.sockets),
+            workers,
+            hops: HashMap::new(),
+            branches: HashMap::new(),
+            waiting: HashMap::new(),
+            nudge: Arc::default(),
+            ready: Arc::default(),
+            close,
+            alarm: None,
+            exit: false,
+        };
+        let routes = |news| Event::Routes { source: Source::Discovery, news };
+        let known = config.known.unwrap_or_default();
+        let index = known.index;
+        shell.feed(routes(RouteNews::WarmCopy(known.hops(&config.conf))));
+        let (tell, mut told) = mpsc::unbounded_channel();
+        if let Some(address) = config.discovery {
+            let (conf, nudge) = (config.conf.clone(), shell.nudge.clone());
+            tokio::spawn(Watcher { address, conf, index, nudge, tell }.run());
+        } else {
+            drop(tell);
+            shell.feed(routes(RouteNews::Changes(vec![])));
+        }
+        let front = Front { gate: gate.clone(), conf: config.conf.clone(), ready: shell.ready.clone() };
+        fronts.spawn(front.serve(listener, config.sockets, closing));
+        tokio::spawn(async move {
+            while fronts.join_next().await.is_some() {}
+            gate.tell(Event::FrontsClosed);
+        });
+        log!("{} listens at {}", config.name, config.listen);
+        let mut stop = std::pin::pin!(stop);
+        let mut stopping = false;
+        while !shell.exit {
+            let alarm = shell.alarm.map(|at| tokio::time::Instant::from_std(clock.instant(at)));
+            let due = tokio::time::sleep_until(alarm.unwrap_or_else(tokio::time::Instant::now));
+            tokio::select! {
+                Some(heard) = heard.recv() => shell.hear(heard),
+                Some(news) = told.recv() => shell.feed(routes(news)),
+                () = due, if alarm.is_some() => {
+                    shell.alarm = None;
+                    shell.feed(Event::Due);
+                }
+                () = stop.as_mut(), if !stopping => {
+                    stopping = true;
+                    shell.feed(Event::Terminate);
+                }
             }
-            _ = terminate.recv() => shell.feed(Event::Terminate),
-            _ = interrupt.recv() => shell.feed(Event::Terminate),
         }
+        Ok(())
     }
-    Ok(())
 }
 
 impl Shell {
@@ -161,6 +195,7 @@
                 self.waiting.insert(ticket, (answer, news));
                 self.feed(Event::Submitted { ticket, transaction });
             }
+            Heard::Asked(answer) => drop(answer.send(self.core.overview())),
         }
     }
 
@@ -176,13 +211,15 @@
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Start { branch, hop, reach, class: _, job, left } => {
-                self.start(branch, hop, &reach, &job, Duration::from_micros(left));
+            Effect::Start { branch, hop, reach, class, job, left } => {
+                self.start(branch, hop, reach, class, job, Duration::from_micros(left));
             }
             Effect::Cut { branch } => {
-                if let Some((branch, task)) = self.branches.remove(&branch) {
-                    branch.cut();
+                if let Some((line, task)) = self.branches.remove(&branch) {
+                    line.cut();
                     task.abort();
+                } else if let Some(workers) = &self.workers {
+                    workers.cut(branch);
                 }
             }
             Effect::Answer { ticket, answer } => {
@@ -197,7 +234,15 @@
                 }
             }
             Effect::Probe { hop, probe, reach } => {
-                let Reach::Address(address) = reach else { return };
+                let address = match reach {
+                    Reach::Address(address) => address,
+                    Reach::Session(session) => {
+                        let workers = self.workers.as_ref();
+                        let (status, report) =
+                            workers.map_or((Status::ConnectFailed, None), |w| w.probe(session));
+                        return self.gate.tell(Event::Probed { hop, probe, status, report });
+                    }
+                };
                 let (client, gate) = (self.hop(hop, &address), self.gate.clone());
                 tokio::spawn(async move {
                     let (status, report) = client.probe().await;
@@ -214,10 +259,23 @@
         }
     }
 
-    fn start(&mut self, branch: BranchId, hop: WorkerId, reach: &Reach, job: &Job, left: Duration) {
-        let Reach::Address(address) = reach else { return };
+    fn start(
+        &mut self,
+        branch: BranchId,
+        hop: WorkerId,
+        reach: Reach,
+        class: ClassId,
+        job: Arc<Job>,
+        left: Duration,
+    ) {
         let teller = BranchTeller { gate: self.gate.clone(), branch };
-        match self.hop(hop, address).branch(job, left, teller) {
+        let never = || self.gate.tell(Event::Ended { branch, ending: Ending::NotConnected, report: None });
+        let address = match (reach, &self.workers) {
+            (Reach::Address(address), _) => address,
+            (Reach::Session(session), Some(workers)) => return workers.start(session, branch, class, job),
+            (Reach::Session(_), None) => return never(),
+        };
+        match self.hop(hop, &address).branch(&job, left, teller) {
             Ok((line, drive)) => {
                 let task = tokio::spawn(drive).abort_handle();
                 self.branches.insert(branch, (line, task));
--- /dev/null
+++ b/tests/fronts.rs
@@ -0,0 +1,506 @@
+//! Both fronts, played on loopback against stand-ins.
+
+mod stage;
+
+use stage::{Peer, Stage};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+#[test]
+fn a_transaction_is_served_by_a_next_hop() {
+    Stage::play(
+        &["w1"],
+        "c send POST /rate-push/k7?x=1 t1 5000 prices
+         w1 wait a
+         a expect POST /rate-push/k7?x=1 t1 prices
+         a send done 42
+         c expect 200 42
+         # The connections on both sides are used again.
+         c send POST /booking-import/k7 t2 5000 booking
+         a expect POST /booking-import/k7 t2 booking
+         a send done 43
+         c expect 200 43",
+    );
+}
+
+#[test]
+fn bad_requests_reach_no_next_hop() {
+    Stage::play(
+        &["w1"],
+        r"c send POST /unknown/k t1 5000 x
+          c expect 400 class
+          c send POST /rate-push/k bad!id 5000 x
+          c expect 400 X-Txn
+          c send POST /rate-push/k t1 soon x
+          c expect 400 X-Remaining-Ms
+          c send raw POST /rate-push/k HTTP/1.1\r\nHost: x\r\nX-Txn: t1\r\nContent-Length: 0\r\n\r\n
+          c expect 400 X-Remaining-Ms
+          c send raw POST /rate-push/k HTTP/1.1\r\nHost: x\r\nX-Remaining-Ms: 500\r\nContent-Length: 0\r\n\r\n
+          c expect 400 X-Txn
+          c send raw GET /rate-push/k HTTP/1.1\r\nHost: x\r\n\r\n
+          c expect 405
+          c send raw GET /-/other HTTP/1.1\r\nHost: x\r\n\r\n
+          c expect 404
+          c send raw GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n
+          c expect 200
+          c send raw POST /rate-push/k HTTP/1.1\r\nHost: x\r\nX-Txn: t1\r\nX-Remaining-Ms: 500\r\nContent-Length: 70000\r\n\r\n
+          c expect 413
+          # The first thing that the next hop sees is the good one.
+          d send POST /rate-push/k t9 5000 x
+          w1 wait a
+          a expect POST /rate-push/k t9
+          a send done 1
+          d expect 200 1",
+    );
+}
+
+// Guards against an import that runs twice: its connection breaks after its last byte was sent.
+#[test]
+fn an_import_whose_connection_breaks_fails_and_a_push_is_sent_again() {
+    Stage::play(
+        &["w1", "w2"],
+        "c send POST /booking-import/k i1 5000 x
+         w1 wait a
+         a expect POST /booking-import/k i1
+         a close
+         c expect 502",
+    );
+    Stage::play(
+        &["w1", "w2"],
+        "c send POST /rate-push/k p1 5000 x
+         w1 wait a
+         a expect POST /rate-push/k p1
+         a close
+         w2 wait b
+         b expect POST /rate-push/k p1
+         b send done 7
+         c expect 200 7",
+    );
+}
+
+// Guards against giving up what never ran: a refused connection and a turned-away job prove that.
+#[test]
+fn an_import_that_was_turned_away_goes_elsewhere() {
+    Stage::play(
+        &["w1", "w2"],
+        r"c send POST /booking-import/k i1 5000 x
+          w1 wait a
+          a expect POST /booking-import/k i1
+          a send raw HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n
+          w2 wait b
+          b expect POST /booking-import/k i1
+          b send done 9
+          c expect 200 9",
+    );
+}
+
+// Guards against a busy answer, which invites a second try, after a plain 503 that may have run.
+#[test]
+fn an_import_with_an_error_or_a_malformed_line_fails() {
+    for answer in [
+        r"raw HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+        r"raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nnonsense\n\r\n",
+        r#"raw HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2f\r\n{"id":"other","from":"w","state":"done","x":"y"}\n\r\n"#,
+    ] {
+        let script = format!(
+            "c send POST /booking-import/k i1 5000 x
+             w1 wait a
+             a expect POST /booking-import/k i1
+             a send {answer}
+             c expect 502"
+        );
+        Stage::play(&["w1", "w2"], &script);
+    }
+}
+
+// Guards against a branch that stays out after its client has left: hyper alone notices at the next line.
+#[test]
+fn a_client_that_leaves_has_its_branch_cut() {
+    Stage::play(
+        &["w1"],
+        r#"c send POST /rate-push/k t1 5000 x
+           w1 wait a
+           a expect POST /rate-push/k t1
+           a send 200
+           a send + {"id":"t1","from":"w1","state":"started"}
+           c close
+           a expect end"#,
+    );
+}
+
+// Guards against answers after the client's deadline, and against work that goes on for nobody.
+#[test]
+fn a_branch_ends_before_the_clients_deadline() {
+    Stage::play(
+        &["w1"],
+        "c send POST /booking-import/k t1 1800 x
+         w1 wait a
+         a expect POST /booking-import/k t1
+         c expect 502
+         a expect end",
+    );
+}
+
+// Guards against a busy answer that is held back, and one that does not say when to come back.
+#[test]
+fn a_full_fleet_gives_busy_answers() {
+    Stage::play(
+        &["w1"],
+        "c send POST /rate-push/k t1 5000 x
+         w1 wait a
+         a expect POST /rate-push/k t1
+         a send 200
+         a send + {\"id\":\"t1\",\"from\":\"w1\",\"state\":\"started\"}
+         d send POST /rate-push/k t2 5000 x
+         d expect 503 retry-after:
+         a send + {\"id\":\"t1\",\"from\":\"w1\",\"state\":\"done\",\"result\":\"5\"}
+         a send .
+         c expect 200 5",
+    );
+}
+
+// Guards against sends to a next hop that drains, and against a malformed line of the watch taking it down.
+#[test]
+fn the_watch_is_followed_and_survives_malformed_lines() {
+    Stage::play(
+        &["w1", "w2", "discovery"],
+        r#"discovery wait d
+           d expect GET /api/targets?stream=1&index=1
+           d send 200
+           d send + nonsense
+           discovery wait e
+           e expect GET /api/targets
+           e send json {"index":5,"snapshot":false,"endpoints":[{"name":"w1","address":"127.0.0.1:1","zone":"z","type":"k","status":"draining"}]}
+           discovery wait f
+           f expect GET /api/targets?stream=1&index=5
+           f send 200
+           c send POST /rate-push/k t1 5000 x
+           w2 wait a
+           a expect POST /rate-push/k t1
+           a send done 1
+           c expect 200 1"#,
+    );
+}
+
+#[test]
+fn a_dispatcher_that_is_stopped_answers_what_it_has_taken() {
+    let mut stage = Stage::play(
+        &["w1"],
+        "c send POST /booking-import/k t1 5000 x
+         i send POST /unknown/k t0 1 x
+         i expect 400
+         w1 wait a
+         a expect POST /booking-import/k t1",
+    );
+    stage.stop();
+    // Clients that have not heard of it yet still come: the busy worker means a busy answer, not a lost one.
+    stage.go_on(
+        "d send POST /unknown/k t2 5000 x
+         d expect 400
+         i expect end
+         d expect end
+         a send done 3
+         c expect 200 3
+         c expect end",
+    );
+    stage.ended();
+}
+
+#[test]
+fn a_gearman_job_runs_on_an_http_worker_and_an_http_job_on_a_gearman_worker() {
+    Stage::play(
+        &["w1"],
+        r#"g1 send [SUBMIT_JOB booking-import|u 1|payload]
+           g1 expect [JOB_CREATED $h]
+           w1 wait a
+           a expect POST /booking-import/u%201 payload
+           a send done imported
+           g1 expect [WORK_COMPLETE $h|imported]"#,
+    );
+    Stage::play(
+        &[],
+        "g2 send [CAN_DO rate-push]
+         g2 send [GRAB_JOB]
+         g2 expect [NO_JOB]
+         g2 send [PRE_SLEEP]
+         g2 send [ECHO_REQ all told]
+         g2 expect [ECHO_RES all told]
+         c send POST /rate-push/k t1 5000 prices
+         g2 expect [NOOP]
+         g2 send [GRAB_JOB_UNIQ]
+         g2 expect [JOB_ASSIGN_UNIQ $b|rate-push|t1|prices]
+         g2 send [WORK_COMPLETE $b|pushed]
+         c expect 200 pushed",
+    );
+}
+
+#[test]
+fn news_of_a_job_and_its_status_reach_the_client() {
+    Stage::play(
+        &[],
+        "g2 send [CAN_DO rate-push]
+         g2 send [PRE_SLEEP]
+         g1 send [SUBMIT_JOB_HIGH rate-push||x]
+         g1 expect [JOB_CREATED $h]
+         g2 expect [NOOP]
+         g2 send [GRAB_JOB]
+         g2 expect [JOB_ASSIGN $b|rate-push|x]
+         g2 send [WORK_DATA $b|part]
+         g1 expect [WORK_DATA *|part]
+         g2 send [WORK_STATUS $b|1|2]
+         g1 expect [WORK_STATUS *|500|1000]
+         g1 send [GET_STATUS $h]
+         g1 expect [STATUS_RES *|1|1|500|1000]
+         g2 send [WORK_WARNING $b|careful]
+         g1 expect [WORK_WARNING *|careful]
+         g2 send [WORK_FAIL $b]
+         g1 send [GET_STATUS H:none]
+         g1 expect [STATUS_RES H:none|0|0|0|0]",
+    );
+}
+
+// Guards against a worker that drops out in the middle of an import: it may have run, and never runs again.
+#[test]
+fn a_gearman_worker_that_drops_out_fails_an_import_and_loses_no_push() {
+    let drops = |function: &str| {
+        format!(
+            "g2 send [CAN_DO {function}]
+             g2 send [PRE_SLEEP]
+             g1 send [SUBMIT_JOB {function}|u1|x]
+             g1 expect [JOB_CREATED $h]
+             g2 expect [NOOP]
+             g2 send [GRAB_JOB]
+             g2 expect [JOB_ASSIGN $b|{function}|x]
+             g3 send [CAN_DO {function}]
+             g3 send [PRE_SLEEP]
+             g3 send [ECHO_REQ listed]
+             g3 expect [ECHO_RES listed]
+             g2 close\n"
+        )
+    };
+    let import = "g1 expect [WORK_WARNING *|*]
+         g1 expect [WORK_FAIL *]
+         # Its client asks again: the kept answer, and the free worker hears nothing.
+         g4 send [SUBMIT_JOB booking-import|u1|x]
+         g4 expect [JOB_CREATED *]
+         g4 expect [WORK_WARNING *|*]
+         g4 expect [WORK_FAIL *]
+         g3 send [ECHO_REQ still]
+         g3 expect [ECHO_RES still]";
+    Stage::play(&[], &(drops("booking-import") + import));
+    let push = "g3 expect [NOOP]
+         g3 send [GRAB_JOB]
+         g3 expect [JOB_ASSIGN $c|rate-push|x]
+         g3 send [WORK_COMPLETE $c|pushed]
+         g1 expect [WORK_COMPLETE *|pushed]";
+    Stage::play(&[], &(drops("rate-push") + push));
+}
+
+// Guards against a client that comes again having its import run twice.
+#[test]
+fn a_client_that_comes_again_joins_its_job_or_gets_the_kept_result() {
+    Stage::play(
+        &[],
+        "g2 send [CAN_DO booking-import]
+         g2 send [PRE_SLEEP]
+         g1 send [SUBMIT_JOB booking-import|u1|x]
+         g1 expect [JOB_CREATED *]
+         g2 expect [NOOP]
+         g2 send [GRAB_JOB]
+         g2 expect [JOB_ASSIGN $b|booking-import|x]
+         g1 close
+         g3 send [SUBMIT_JOB booking-import|u1|x]
+         g3 expect [JOB_CREATED *]
+         g2 send [WORK_COMPLETE $b|imported]
+         g3 expect [WORK_COMPLETE *|imported]
+         g3 close
+         g4 send [SUBMIT_JOB booking-import|u1|x]
+         g4 expect [JOB_CREATED *]
+         g4 expect [WORK_COMPLETE *|imported]
+         # The worker has no second job.
+         g2 send [GRAB_JOB]
+         g2 expect [NO_JOB]",
+    );
+}
+
+#[test]
+fn a_gearman_worker_leaves_the_route_set_with_its_session() {
+    Stage::play(
+        &[],
+        "g2 send [CAN_DO rate-push]
+         g2 send [ECHO_REQ x]
+         g2 expect [ECHO_RES x]
+         g2 close
+         g1 send [SUBMIT_JOB rate-push||x]
+         g1 expect [JOB_CREATED *]
+         g1 expect [WORK_WARNING *|*]
+         g1 expect [WORK_FAIL *]",
+    );
+}
+
+#[test]
+fn malformed_packets_get_an_error_and_a_close() {
+    for bad in [
+        r"raw \0RES\0\0\0\0\0\0\0\0",
+        r"raw \0REQ\0\0\0c\0\0\0\0",
+        r"raw \0REQ\0\0\0\0zzzz",
+        "[SUBMIT_JOB rate-push]",
+        "[CAN_DO ]",
+        "[WORK_STATUS h|x|y]",
+        "[JOB_CREATED h]",
+    ] {
+        Stage::play(&[], &format!("g1 send {bad}\n g1 expect [ERROR MALFORMED|*]\n g1 expect end"));
+    }
+    // These are well formed: an error, and the connection goes on.
+    Stage::play(
+        &[],
+        "g1 send [SUBMIT_JOB other||x]
+         g1 expect [ERROR UNKNOWN_FUNCTION|other]
+         g1 send [SUBMIT_JOB_BG rate-push||x]
+         g1 expect [ERROR BACKGROUND_NOT_TAKEN|*]
+         g1 send [WORK_COMPLETE H:none|x]
+         g1 expect [ERROR JOB_NOT_FOUND|*]
+         g1 send [OPTION_REQ exceptions]
+         g1 expect [OPTION_RES exceptions]",
+    );
+}
+
+/// A client hands a job in over either protocol, and comes again for as long as it gets busy answers; whether
+/// the job was served.
+fn ask(stage: &Stage, gearman: bool, id: &str, class: &str) -> bool {
+    let address = if gearman { stage.gearman } else { stage.http };
+    let mut client = Peer::new(TcpStream::connect(address).unwrap());
+    for again in 0..100 {
+        let (busy, served) = if gearman {
+            client.send(&format!("[SUBMIT_JOB {class}|{id}|{id}]"));
+            let mut busy = false;
+            loop {
+                match client.packet().unwrap() {
+                    (name, _) if name == "WORK_COMPLETE" => break (false, true),
+                    (name, _) if name == "WORK_FAIL" => break (busy, false),
+                    (_, parts) => busy |= parts.last().is_some_and(|p| p.starts_with("busy")),
+                }
+            }
+        } else {
+            // As long as the class allows: the decisions take a shorter time for a second try.
+            let left = if class == "rate-push" { 5000 } else { 6000 };
+            client.send(&format!("POST /{class}/k {id}.{again} {left} {id}"));
+            let answer = client.message().unwrap();
+            (answer.starts_with("HTTP/1.1 503"), answer.starts_with("HTTP/1.1 200"))
+        };
+        if !busy {
+            return served;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("{id}: busy for too long");
+}
+
+/// How often each job has run on a Gearman worker, and how often on an HTTP one.
+type Runs = Arc<Mutex<BTreeMap<String, [u32; 2]>>>;
+
+/// A job runs: it is counted, and takes a moment, so that others need other workers. Whether it goes through.
+fn run(runs: &Runs, job: &str, gearman: bool) -> bool {
+    let count = {
+        let mut runs = runs.lock().unwrap();
+        let counts = runs.entry(job.to_owned()).or_default();
+        counts[usize::from(gearman)] += 1;
+        counts[0] + counts[1]
+    };
+    std::thread::sleep(Duration::from_millis(10));
+    !job.contains("drop") || count > 1
+}
+
+/// A Gearman worker that counts what it runs, and drops out in the middle of every job that says so.
+fn gearman_worker(address: SocketAddr, runs: Runs) {
+    loop {
+        let Ok(stream) = TcpStream::connect(address) else { return };
+        let mut worker = Peer::new(stream);
+        worker.send("[CAN_DO booking-import]");
+        worker.send("[CAN_DO rate-push]");
+        worker.send("[GRAB_JOB]");
+        loop {
+            match worker.packet() {
+                Ok((name, parts)) if name == "JOB_ASSIGN" => {
+                    if !run(&runs, &parts[2], true) {
+                        break;
+                    }
+                    worker.send(&format!("[WORK_COMPLETE {}|{}]", parts[0], parts[2]));
+                    worker.send("[GRAB_JOB]");
+                }
+                Ok((name, _)) if name == "NO_JOB" => worker.send("[PRE_SLEEP]"),
+                Ok(_) => worker.send("[GRAB_JOB]"),
+                Err(_) => return,
+            }
+        }
+    }
+}
+
+/// The same over HTTP.
+fn http_worker(listener: TcpListener, runs: Runs) {
+    for stream in listener.incoming() {
+        let runs = runs.clone();
+        std::thread::spawn(move || {
+            let mut worker = Peer::new(stream.unwrap());
+            while let Ok(message) = worker.message() {
+                let body = message.split("\r\n\r\n").nth(1).unwrap_or_default().to_owned();
+                if !run(&runs, &body, false) {
+                    return;
+                }
+                worker.send(&format!("done {body}"));
+            }
+        });
+    }
+}
+
+// Guards against a side door: jobs of either protocol run on either kind of worker, get equal service, and no
+// import runs twice, whatever drops out and whoever asks again.
+#[test]
+fn both_protocols_get_equal_service_and_no_import_runs_twice() {
+    let mut stage = Stage::new(&["w1", "w2"]);
+    let runs: Runs = Arc::default();
+    for hop in ["w1", "w2"] {
+        let (listener, runs) = (stage.take(hop), runs.clone());
+        std::thread::spawn(move || http_worker(listener, runs));
+    }
+    for _ in 0..2 {
+        let (address, runs) = (stage.gearman, runs.clone());
+        std::thread::spawn(move || gearman_worker(address, runs));
+    }
+    stage.go_on("g1 send [ECHO_REQ x]\n g1 expect [ECHO_RES x]");
+    let mut served = [[0; 2]; 2];
+    for round in 0..12 {
+        let drops = if round % 4 == 3 { "drop" } else { "" };
+        std::thread::scope(|scope| {
+            let jobs = [(false, 0), (false, 1), (true, 0), (true, 1)].map(|(gearman, n)| {
+                let (class, stage) = (["rate-push", "booking-import"][n], &stage);
+                let id = format!("{class}-{round}-{gearman}-{drops}");
+                let job = scope.spawn(move || {
+                    let answered = ask(stage, gearman, &id, class);
+                    // A Gearman client that asks again under the same unique id gets the same answer.
+                    assert!(!gearman || ask(stage, gearman, &id, class) == answered, "{id}");
+                    answered
+                });
+                (gearman, n, job)
+            });
+            for (gearman, n, job) in jobs {
+                served[usize::from(gearman)][n] += u32::from(job.join().unwrap());
+            }
+        });
+    }
+    // A push survives its worker; an import whose worker dropped out fails, 3 of 12, on either front.
+    assert_eq!(served, [[12, 9], [12, 9]]);
+    let runs = runs.lock().unwrap();
+    let imports: Vec<_> = runs.iter().filter(|(id, _)| id.starts_with("booking-import")).collect();
+    let twice: Vec<_> = imports.iter().filter(|(_, n)| n[0] + n[1] > 1).collect();
+    assert!(twice.is_empty(), "imports that ran twice: {twice:?}");
+    assert_eq!(imports.len(), 24);
+    // Jobs of either protocol ran on either kind of worker.
+    for client in ["-true-", "-false-"] {
+        for worker in [0, 1] {
+            assert!(runs.iter().any(|(id, n)| id.contains(client) && n[worker] > 0), "{client} {worker}");
+        }
+    }
+}
