--- a/src/lib.rs
+++ b/src/lib.rs
@@ -102,6 +102,7 @@
 pub mod api;
 mod balance;
 pub mod config;
+pub mod console;
 pub mod core;
 pub mod discovery;
 pub mod front;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,10 +3,13 @@
 use argh::FromArgs;
 use pumiceway::config::{Config, GearmanConfig};
 use pumiceway::shell::Dispatcher;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
 
+const DEFAULT_FRONT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 4730);
+
 /// Dispatches sync jobs to channel workers.
 #[derive(FromArgs)]
 struct Args {
@@ -19,6 +22,7 @@
 enum Command {
     Serve(Serve),
     CheckConfig(CheckConfig),
+    Console(Console),
     Version(Version),
 }
 
@@ -40,6 +44,18 @@
     gearman: Option<PathBuf>,
 }
 
+/// Look at a running dispatcher through its Gearman front.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "console")]
+struct Console {
+    /// where the Gearman front listens (127.0.0.1:4730)
+    #[argh(option, default = "DEFAULT_FRONT")]
+    address: SocketAddr,
+    /// run this command and end
+    #[argh(option)]
+    command: Option<String>,
+}
+
 /// Print the version.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -51,6 +67,9 @@
         Command::CheckConfig(CheckConfig { gearman }) => {
             config(gearman.as_deref()).map(|(c, _)| println!("{}: good", c.name))
         }
+        Command::Console(Console { address, command }) => {
+            pumiceway::console::run(address, command.as_deref())
+        }
         Command::Version(Version {}) => {
             println!("pumiceway {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -109,6 +109,7 @@
     /// Serves until told to stop and all that was taken is answered.
     pub async fn run(self, stop: impl Future<Output = ()>) -> io::Result<()> {
         let Dispatcher { mut config, gearman, listener } = self;
+        let (name, address) = (config.name, listener.local_addr()?);
         let clock = Clock::start();
         let (gate, mut heard) = Gate::new();
         let (close, closing) = watch::channel(false);
@@ -159,7 +160,7 @@
             while fronts.join_next().await.is_some() {}
             gate.tell(Event::FrontsClosed);
         });
-        log!("{} listens at {}", config.name, config.listen);
+        log!("{name} listens at {address}");
         let mut stop = std::pin::pin!(stop);
         let mut stopping = false;
         while !shell.exit {
--- /dev/null
+++ b/tests/command.rs
@@ -0,0 +1,116 @@
+//! The program from its command line: configuration errors, the console, and a stop by signal.
+
+mod stage;
+
+use stage::{SETTINGS, Stage};
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("pumiceway-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn pumiceway(arguments: &[&str], config: Option<&PathBuf>) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pumiceway"));
+    command.args(arguments).env_clear();
+    command.envs(config.map(|c| ("ROUTER_CONFIG", c)));
+    command.output().unwrap()
+}
+
+// Guards against a dispatcher that starts on a bad configuration, or that does not say which key is bad.
+#[test]
+fn bad_configuration_ends_with_a_message_that_names_the_key() {
+    let good = format!(
+        r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f","settings":{SETTINGS}}}"#
+    );
+    let cases = [
+        ("listen", good.replace("127.0.0.1:0", "nowhere")),
+        ("discovery", good.replace("127.0.0.1:1", "nowhere")),
+        ("seed", good.replace("8c1f", "xyz")),
+        ("settings.lanes[0].aim-us", good.replace("\"aim-us\":500000", "\"aim-us\":\"soon\"")),
+        ("missing field `lanes`", good.replace("\"lanes\"", "\"other\"")),
+        ("my-zone", good.replace(r#""my-zone":"z""#, r#""my-zone":"y""#)),
+        ("limits.sockets", good.replace("\"seed\"", "\"limits\":{\"sockets\":9},\"seed\"")),
+    ];
+    for (n, (key, text)) in cases.iter().enumerate() {
+        let config = file(&format!("bad-{n}.json"), text);
+        for command in ["serve", "check-config"] {
+            let out = pumiceway(&[command], Some(&config));
+            let said = String::from_utf8_lossy(&out.stderr);
+            assert_eq!(out.status.code(), Some(2), "{key}: {said}");
+            assert!(said.contains(key) && said.lines().count() == 1, "{key}: {said}");
+        }
+        std::fs::remove_file(config).unwrap();
+    }
+    assert!(String::from_utf8_lossy(&pumiceway(&["serve"], None).stderr).contains("ROUTER_CONFIG"));
+    let config = file("good.json", &good);
+    assert!(pumiceway(&["check-config"], Some(&config)).status.success());
+    let gearman = [
+        ("listen", "connections = 3\n"),
+        ("listen", "listen = \"x\"\n"),
+        ("connections", "listen = \"127.0.0.1:0\"\nconnections = 0\n"),
+        ("conections", "listen = \"127.0.0.1:0\"\nconections = 3\n"),
+        ("functions.push.class", "listen = \"127.0.0.1:0\"\n[functions.push]\nclass = \"other\"\n"),
+        (
+            "functions.push.deadline_ms",
+            "listen = \"127.0.0.1:0\"\n[functions.push]\nclass = \"rate-push\"\ndeadline_ms = 0\n",
+        ),
+    ];
+    for (n, (key, text)) in gearman.iter().enumerate() {
+        let path = file(&format!("gearman-{n}.toml"), text);
+        let out = pumiceway(&["check-config", "--gearman", path.to_str().unwrap()], Some(&config));
+        let said = String::from_utf8_lossy(&out.stderr);
+        assert!(out.status.code() == Some(2) && said.contains(key), "{key}: {said}");
+        std::fs::remove_file(path).unwrap();
+    }
+    let deployed = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/gearman.toml");
+    assert!(pumiceway(&["check-config", "--gearman", deployed], Some(&config)).status.success());
+    std::fs::remove_file(config).unwrap();
+}
+
+#[test]
+fn the_console_shows_how_things_stand() {
+    let mut stage = Stage::play(
+        &["w1"],
+        "g2 send [CAN_DO rate-push]
+         g2 send [ECHO_REQ x]
+         g2 expect [ECHO_RES x]",
+    );
+    let address = stage.gearman.to_string();
+    let console = |command: &str| {
+        let out = pumiceway(&["console", "--address", &address, "--command", command], None);
+        assert!(out.status.success(), "{}", String::from_utf8_lossy(&out.stderr));
+        String::from_utf8(out.stdout).unwrap()
+    };
+    let status = console("status");
+    let rows: Vec<Vec<&str>> = status.lines().map(|l| l.split_whitespace().collect()).collect();
+    assert_eq!(rows[1], ["booking-import", "0", "0", "0"]);
+    assert_eq!(rows[2], ["rate-push", "0", "0", "1"]);
+    assert!(console("routes").contains("w1") && console("routes").contains("gearman:0000"));
+    assert!(console("workers").contains(": rate-push"));
+    assert_eq!(console("version").trim(), env!("CARGO_PKG_VERSION"));
+    stage.stop();
+    stage.ended();
+}
+
+#[test]
+fn a_signal_stops_the_program_once_nothing_is_owed() {
+    let config = file("stop.json", &format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#));
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pumiceway"))
+        .arg("serve")
+        .env_clear()
+        .env("ROUTER_CONFIG", &config)
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    std::io::BufRead::read_line(&mut std::io::BufReader::new(child.stderr.take().unwrap()), &mut line)
+        .unwrap();
+    assert!(line.contains("listens at 127.0.0.1:"), "{line}");
+    let kill = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    assert!(kill.success());
+    assert!(child.wait().unwrap().success());
+    std::fs::remove_file(config).unwrap();
+}
