--- a/src/config.rs
+++ b/src/config.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// What is wrong with the configuration.
 #[derive(Debug, thiserror::Error)]
@@ -82,6 +83,10 @@
     pub conf: Arc<Conf>,
     /// The settings of the decisions.
     pub settings: Settings,
+    /// The Gearman front, where it is switched on.
+    pub gearman: Option<GearmanConfig>,
+    /// A route set in ZooKeeper, where it is switched on.
+    pub zookeeper: Option<ZooKeeperConfig>,
 }
 
 /// How the descriptors that the process may hold are shared out.
@@ -178,10 +183,55 @@
             known: written.known,
             conf: Arc::new(written.settings),
             settings,
+            gearman: None,
+            zookeeper: None,
         })
     }
 }
 
+/// The file that switches on a route set in ZooKeeper, as written.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ZooKeeperWritten {
+    servers: String,
+    path: String,
+    #[serde(default = "session_timeout_ms")]
+    session_timeout_ms: u64,
+}
+
+fn session_timeout_ms() -> u64 {
+    6_000
+}
+
+/// Where workers register ephemeral nodes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZooKeeperConfig {
+    /// The servers.
+    pub servers: String,
+    /// The path whose children are workers.
+    pub path: String,
+    /// A session that is silent for this long is over.
+    pub session_timeout: Duration,
+}
+
+impl ZooKeeperConfig {
+    /// Reads the file.
+    pub fn from_file(file: &Path) -> Result<ZooKeeperConfig, ConfigError> {
+        let ZooKeeperWritten { servers, path, session_timeout_ms } = read_toml(file)?;
+        let host_port = |s: &str| s.rsplit_once(':').is_some_and(|(_, port)| port.parse::<u16>().is_ok());
+        if !servers.split(',').all(host_port) {
+            return Err(bad("servers", format!("{servers:?} is not host:port,host:port")));
+        }
+        if !path.starts_with('/') || path.ends_with('/') || path.contains("//") {
+            return Err(bad("path", format!("{path:?} is not a path like /pumiceway/workers")));
+        }
+        if !(1_000..=60_000).contains(&session_timeout_ms) {
+            return Err(bad("session_timeout_ms", "not between 1000 and 60000"));
+        }
+        Ok(ZooKeeperConfig { servers, path, session_timeout: Duration::from_millis(session_timeout_ms) })
+    }
+}
+
 /// The file that switches the Gearman front on, as written.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -1,7 +1,9 @@
 //! Discovery: the route set as the platform's service lists it, by list and by watch.
 
+pub mod zookeeper;
+
 use crate::api::{Micros, WorkerState};
-use crate::core::{NextHop, Reach, RouteNews};
+use crate::core::{NextHop, Reach, RouteNews, Source};
 use crate::log;
 use crate::settings::Conf;
 use bytes::Bytes;
@@ -114,7 +116,7 @@
     /// Wakes the watcher from a pause.
     pub nudge: Arc<Notify>,
     /// Who is told.
-    pub tell: mpsc::UnboundedSender<RouteNews>,
+    pub tell: mpsc::UnboundedSender<(Source, RouteNews)>,
 }
 
 enum Broken {
@@ -141,7 +143,7 @@
                 Broken::Unheard => return,
                 Broken::Ended(why) | Broken::Malformed(why) => log!("discovery: {why}"),
             }
-            if self.tell.send(RouteNews::Lost).is_err() {
+            if self.tell.send((Source::Discovery, RouteNews::Lost)).is_err() {
                 return;
             }
             pause = if self.index > before { PAUSE_FIRST } else { (pause * 2).min(PAUSE_MOST) };
@@ -190,7 +192,7 @@
         let whole = listing.snapshot;
         let hops = listing.hops(&self.conf);
         let news = if whole { RouteNews::Whole(hops) } else { RouteNews::Changes(hops) };
-        self.tell.send(news).map_err(|_| Broken::Unheard)
+        self.tell.send((Source::Discovery, news)).map_err(|_| Broken::Unheard)
     }
 
     async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, Broken> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,10 +1,10 @@
 //! The command line.
 
 use argh::FromArgs;
-use pumiceway::config::{Config, GearmanConfig};
+use pumiceway::config::{Config, ConfigError, GearmanConfig, ZooKeeperConfig};
 use pumiceway::shell::Dispatcher;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -33,6 +33,9 @@
     /// file that switches the Gearman front on
     #[argh(option)]
     gearman: Option<PathBuf>,
+    /// file that switches on a route set in ZooKeeper
+    #[argh(option)]
+    zookeeper: Option<PathBuf>,
 }
 
 /// Read the configuration, say what is wrong with it, and end.
@@ -42,6 +45,9 @@
     /// file that switches the Gearman front on
     #[argh(option)]
     gearman: Option<PathBuf>,
+    /// file that switches on a route set in ZooKeeper
+    #[argh(option)]
+    zookeeper: Option<PathBuf>,
 }
 
 /// Look at a running dispatcher through its Gearman front.
@@ -63,9 +69,9 @@
 
 fn main() -> ExitCode {
     let result = match argh::from_env::<Args>().command {
-        Command::Serve(Serve { gearman }) => serve(gearman.as_deref()),
-        Command::CheckConfig(CheckConfig { gearman }) => {
-            config(gearman.as_deref()).map(|(c, _)| println!("{}: good", c.name))
+        Command::Serve(Serve { gearman, zookeeper }) => config(gearman, zookeeper).and_then(serve),
+        Command::CheckConfig(CheckConfig { gearman, zookeeper }) => {
+            config(gearman, zookeeper).map(|c| println!("{}: good", c.name))
         }
         Command::Console(Console { address, command }) => {
             pumiceway::console::run(address, command.as_deref())
@@ -84,14 +90,18 @@
     }
 }
 
-fn config(gearman: Option<&Path>) -> Result<(Config, Option<GearmanConfig>), String> {
-    let config = Config::from_environment(|key| std::env::var(key).ok()).map_err(|e| e.to_string())?;
-    let gearman = gearman.map(|file| GearmanConfig::from_file(file, &config.conf, config.sockets.inbound));
-    Ok((config, gearman.transpose().map_err(|e| e.to_string())?))
+fn config(gearman: Option<PathBuf>, zookeeper: Option<PathBuf>) -> Result<Config, String> {
+    let read = || -> Result<Config, ConfigError> {
+        let mut config = Config::from_environment(|key| std::env::var(key).ok())?;
+        let inbound = config.sockets.inbound;
+        config.gearman = gearman.map(|f| GearmanConfig::from_file(&f, &config.conf, inbound)).transpose()?;
+        config.zookeeper = zookeeper.map(|f| ZooKeeperConfig::from_file(&f)).transpose()?;
+        Ok(config)
+    };
+    read().map_err(|e| e.to_string())
 }
 
-fn serve(gearman: Option<&Path>) -> Result<(), String> {
-    let (config, gearman) = config(gearman)?;
+fn serve(config: Config) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
     let run = async {
@@ -103,7 +113,7 @@
                 _ = interrupt.recv() => {}
             }
         };
-        Dispatcher::bind(config, gearman).await?.run(stop).await
+        Dispatcher::bind(config).await?.run(stop).await
     };
     runtime.block_on(run).map_err(|e: std::io::Error| e.to_string())
 }
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -7,6 +7,7 @@
     Answer, BranchId, Core, Effect, Ending, Event, Job, News, Reach, Retention, RouteNews, Source,
 };
 use crate::discovery::Watcher;
+use crate::discovery::zookeeper::Nodes;
 use crate::front::gearman::Gearman;
 use crate::front::gearman::workers::{Kinds, Workers};
 use crate::front::http::Front;
@@ -88,9 +89,9 @@
 
 impl Dispatcher {
     /// Binds the listeners that the configuration names.
-    pub async fn bind(config: Config, gearman: Option<GearmanConfig>) -> io::Result<Dispatcher> {
+    pub async fn bind(mut config: Config) -> io::Result<Dispatcher> {
         let listener = TcpListener::bind(config.listen).await?;
-        let gearman = match gearman {
+        let gearman = match config.gearman.take() {
             Some(gearman) => {
                 let listener = TcpListener::bind(gearman.listen).await?;
                 Some((gearman, listener))
@@ -149,11 +150,13 @@
         let (tell, mut told) = mpsc::unbounded_channel();
         if let Some(address) = config.discovery {
             let (conf, nudge) = (config.conf.clone(), shell.nudge.clone());
-            tokio::spawn(Watcher { address, conf, index, nudge, tell }.run());
+            tokio::spawn(Watcher { address, conf, index, nudge, tell: tell.clone() }.run());
         } else {
-            drop(tell);
             shell.feed(routes(RouteNews::Changes(vec![])));
         }
+        if let Some(zookeeper) = config.zookeeper {
+            tokio::spawn(Nodes { config: zookeeper, conf: config.conf.clone(), tell }.run());
+        }
         let front = Front { gate: gate.clone(), conf: config.conf.clone(), ready: shell.ready.clone() };
         fronts.spawn(front.serve(listener, config.sockets, closing));
         tokio::spawn(async move {
@@ -168,7 +171,7 @@
             let due = tokio::time::sleep_until(alarm.unwrap_or_else(tokio::time::Instant::now));
             tokio::select! {
                 Some(heard) = heard.recv() => shell.hear(heard),
-                Some(news) = told.recv() => shell.feed(routes(news)),
+                Some((source, news)) = told.recv() => shell.feed(Event::Routes { source, news }),
                 () = due, if alarm.is_some() => {
                     shell.alarm = None;
                     shell.feed(Event::Due);
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -17,7 +17,7 @@
 //! A peer connects with its first line. Each expect and wait gives up after some seconds.
 #![allow(dead_code)] // each test file uses its own part
 
-use pumiceway::config::{Config, GearmanConfig};
+use pumiceway::config::{Config, GearmanConfig, ZooKeeperConfig};
 use pumiceway::shell::Dispatcher;
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
@@ -83,6 +83,11 @@
 impl Stage {
     /// A dispatcher whose route set holds these next hops; one named `discovery` is asked for the list.
     pub fn new(hops: &[&str]) -> Stage {
+        Stage::with(hops, None)
+    }
+
+    /// The same beside a route set in ZooKeeper.
+    pub fn with(hops: &[&str], zookeeper: Option<ZooKeeperConfig>) -> Stage {
         let listeners: HashMap<String, TcpListener> =
             hops.iter().map(|h| (h.to_string(), TcpListener::bind("127.0.0.1:0").unwrap())).collect();
         let at = |name: &str| listeners[name].local_addr().unwrap();
@@ -97,21 +102,22 @@
             discovery.unwrap_or_default(),
             known.join(",")
         );
-        let config = Config::from_text(&text, "config", |_| None).unwrap();
+        let mut config = Config::from_text(&text, "config", |_| None).unwrap();
         let file = std::env::temp_dir().join(format!(
             "pumiceway-{}-{:?}.toml",
             std::process::id(),
             std::thread::current().id()
         ));
         std::fs::write(&file, "listen = \"127.0.0.1:0\"\n").unwrap();
-        let gearman = GearmanConfig::from_file(&file, &config.conf, config.sockets.inbound).unwrap();
+        config.gearman = Some(GearmanConfig::from_file(&file, &config.conf, config.sockets.inbound).unwrap());
+        config.zookeeper = zookeeper;
         std::fs::remove_file(&file).unwrap();
         let (stop, stopped) = tokio::sync::oneshot::channel();
         let (tell, told) = std::sync::mpsc::channel();
         let thread = std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             runtime.block_on(async {
-                let dispatcher = Dispatcher::bind(config, Some(gearman)).await.unwrap();
+                let dispatcher = Dispatcher::bind(config).await.unwrap();
                 tell.send(dispatcher.addresses().unwrap()).unwrap();
                 dispatcher.run(async { drop(stopped.await) }).await.unwrap();
             });
@@ -171,6 +177,11 @@
         self.listeners.remove(hop).unwrap()
     }
 
+    /// Takes a listener in, for next hops that are listed elsewhere.
+    pub fn add(&mut self, hop: &str, listener: TcpListener) {
+        self.listeners.insert(hop.to_owned(), listener);
+    }
+
     /// Tells the dispatcher to stop.
     pub fn stop(&mut self) {
         drop(self.stop.take());
@@ -287,6 +298,14 @@
         Ok(())
     }
 
+    /// Text up to an end.
+    pub fn text_to(&mut self, end: &str) -> String {
+        while !self.buffer.ends_with(end.as_bytes()) {
+            self.need(self.buffer.len() + 1).unwrap();
+        }
+        String::from_utf8(std::mem::take(&mut self.buffer)).unwrap()
+    }
+
     pub fn packet(&mut self) -> Result<(String, Vec<String>), String> {
         self.need(12)?;
         let number = |at: usize| u32::from_be_bytes(self.buffer[at..at + 4].try_into().unwrap());
