--- a/src/config.rs
+++ b/src/config.rs
@@ -257,7 +257,6 @@
     class: String,
     #[serde(default = "slots")]
     slots: f64,
-    deadline_ms: Option<u64>,
 }
 
 fn connections() -> usize {
@@ -321,7 +320,7 @@
         positive("connections", written.connections, inbound / 2)?;
         positive("jobs", written.jobs, 1_024)?;
         positive("retention_s", written.retention_s as usize, 86_400)?;
-        positive("kept_answers", written.kept_answers, 100_000)?;
+        positive("kept_answers", written.kept_answers, 20_000)?;
         positive("kept_mb", written.kept_mb, 64)?;
         let mut functions = BTreeMap::new();
         for (name, f) in written.functions {
@@ -331,11 +330,8 @@
             if !(f.slots > 0.0 && f.slots <= 1_000.0) {
                 return Err(bad(&key("slots"), format!("{} is not a number of slots", f.slots)));
             }
-            let most = conf.lanes[class].deadline_us;
-            let left = f.deadline_ms.map_or(most, |ms| ms.saturating_mul(1_000));
-            if left == 0 || left > most {
-                return Err(bad(&key("deadline_ms"), format!("not between 1 and {}", most / 1_000)));
-            }
+            // The class's own: the decisions take a shorter one for a second try, which has waited already.
+            let left = conf.lanes[class].deadline_us;
             functions.insert(name, Function { class: ClassId(class), slots: f.slots, left });
         }
         if functions.is_empty() {
@@ -351,6 +347,7 @@
             retention: Retention {
                 time: written.retention_s * 1_000_000,
                 entries: written.kept_answers,
+                running: written.jobs,
                 bytes: written.kept_mb << 20,
             },
             functions,
--- a/src/core/kept.rs
+++ b/src/core/kept.rs
@@ -15,13 +15,15 @@
     pub time: Micros,
     /// At most this many transactions are known, running ones included.
     pub entries: usize,
+    /// And this many run at once. Prevents: jobs whose clients have left pile up without bound.
+    pub running: usize,
     /// Results kept hold at most this many bytes together.
     pub bytes: usize,
 }
 
 impl Default for Retention {
     fn default() -> Retention {
-        Retention { time: 600_000_000, entries: 10_000, bytes: 16 << 20 }
+        Retention { time: 600_000_000, entries: 10_000, running: 256, bytes: 16 << 20 }
     }
 }
 
@@ -44,6 +46,7 @@
     /// Ended entries by when they are forgotten.
     ends: BTreeMap<(Micros, u64), Identity>,
     bytes: usize,
+    running: usize,
     count: u64,
 }
 
@@ -54,7 +57,7 @@
 
 impl Kept {
     pub(super) fn new(limits: Retention) -> Kept {
-        Kept { limits, known: HashMap::new(), ends: BTreeMap::new(), bytes: 0, count: 0 }
+        Kept { limits, known: HashMap::new(), ends: BTreeMap::new(), bytes: 0, running: 0, count: 0 }
     }
 
     pub(super) fn look_up(&mut self, now: Micros, identity: &Identity) -> Known {
@@ -63,7 +66,9 @@
             Some(Entry::Running(request)) => Known::Running(*request),
             Some(Entry::Over(answer)) => Known::Over(answer.clone()),
             // Prevents: room is made by forgetting an import that may have run, which then runs again.
-            None if self.known.len() >= self.limits.entries => Known::NoRoom,
+            None if self.known.len() >= self.limits.entries || self.running >= self.limits.running => {
+                Known::NoRoom
+            }
             None => Known::New,
         }
     }
@@ -73,11 +78,13 @@
     }
 
     pub(super) fn begin(&mut self, identity: Identity, request: RequestId) {
+        self.running += 1;
         self.known.insert(identity, Entry::Running(request));
     }
 
     /// The transaction has its answer. A busy answer is not kept: trying again is harmless.
     pub(super) fn end(&mut self, now: Micros, identity: Identity, answer: &Answer) {
+        self.running = self.running.saturating_sub(1);
         let mut answer = answer.clone();
         match &answer {
             Answer::Busy { .. } => {
@@ -103,3 +110,54 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn kept(entries: usize, bytes: usize) -> Kept {
+        Kept::new(Retention { time: 100, entries, running: 2, bytes })
+    }
+
+    fn id(n: u64) -> Identity {
+        Identity(n.to_string())
+    }
+
+    // Guards against memory without bound, and against room made by forgetting what may have run.
+    #[test]
+    fn answers_are_kept_for_their_time_and_never_pushed_out() {
+        let mut kept = kept(3, 10);
+        let failed = Answer::Failed("x");
+        for n in 0..3 {
+            assert_eq!(kept.look_up(0, &id(n)), Known::New);
+            kept.begin(id(n), RequestId(n));
+            assert_eq!(kept.look_up(0, &id(n)), Known::Running(RequestId(n)));
+            kept.end(n, id(n), &failed);
+        }
+        assert_eq!(kept.look_up(99, &id(9)), Known::NoRoom);
+        assert_eq!(kept.look_up(99, &id(0)), Known::Over(failed));
+        assert_eq!(kept.look_up(100, &id(0)), Known::New);
+        assert_eq!(kept.len(), 2);
+    }
+
+    #[test]
+    fn results_past_the_bound_are_kept_as_failures_and_busy_answers_not_at_all() {
+        let mut kept = kept(9, 10);
+        let result = Answer::Served("12345678".into());
+        for n in 0..3 {
+            kept.begin(id(n), RequestId(n));
+        }
+        assert_eq!(kept.look_up(0, &id(7)), Known::NoRoom);
+        kept.end(0, id(0), &result);
+        kept.end(1, id(1), &result);
+        kept.end(1, id(2), &Answer::Busy { retry_after: None });
+        assert_eq!(kept.look_up(1, &id(0)), Known::Over(result.clone()));
+        assert!(matches!(kept.look_up(1, &id(1)), Known::Over(Answer::Failed(_))));
+        assert_eq!(kept.look_up(1, &id(2)), Known::New);
+        // The bytes of what is forgotten are free again.
+        kept.expire(500);
+        kept.begin(id(3), RequestId(3));
+        kept.end(500, id(3), &result);
+        assert_eq!(kept.look_up(501, &id(3)), Known::Over(result));
+    }
+}
--- a/src/core/reducer.rs
+++ b/src/core/reducer.rs
@@ -13,6 +13,8 @@
 const ANSWER_MARGIN: Micros = 10_000;
 /// After a call to stop, clients still come for this long.
 const CROSSING: Micros = 600_000;
+/// Prevents: next hops that answer probes at once make the decisions wake up without pause.
+const WAKE_LEAST: Micros = 1_000;
 /// Advice to come back where the module was not asked.
 const COME_BACK: Micros = 1_000_000;
 
@@ -203,8 +205,9 @@
                 if let Some(at) = self.wake_at.take() {
                     self.timers.remove(&(at, Timer::Wake));
                 }
-                self.wake_at = Some(now + after);
-                self.timers.insert((now + after, Timer::Wake));
+                let at = now + after.max(WAKE_LEAST);
+                self.wake_at = Some(at);
+                self.timers.insert((at, Timer::Wake));
             }
             Action::Log(line) => out.push(Effect::Log(line)),
         }
--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -6,7 +6,7 @@
 use crate::config::Sockets;
 use crate::core::{Ending, Job, News};
 use crate::log;
-use crate::settings::{Conf, Limits};
+use crate::settings::Conf;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -40,12 +40,15 @@
 
 impl Keeping {
     /// What the settings and the share of descriptors ask for.
-    pub fn new(limits: &Limits, sockets: &Sockets) -> Keeping {
+    pub fn new(conf: &Conf, sockets: &Sockets) -> Keeping {
         let or = |us, default| Duration::from_micros(if us == 0 { default } else { us });
+        let connect = or(conf.limits.connect_timeout_us, 1_000_000);
         Keeping {
-            connect: or(limits.connect_timeout_us, 1_000_000),
+            // Prevents: a branch waits for its connection while its next hop begins to drain, and is written
+            // to it after the grace is over.
+            connect: connect.min(or(conf.rules.drain_grace_us / 2, 1_000_000)),
             // Prevents: a request is written to a connection that the other side has just dropped as idle.
-            idle: or(limits.conn_idle_us * 2 / 3, 5_000_000),
+            idle: or(conf.limits.conn_idle_us * 2 / 3, 5_000_000),
             most_idle: (sockets.idle / 32).max(2),
         }
     }
@@ -322,3 +325,37 @@
         .collect();
     (!pairs.is_empty()).then(|| Conf::report(pairs.into_iter()))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // Guards against a branch that waits for a connection past the grace of a drain, and against writing to a
+    // connection that the other side may have dropped.
+    #[test]
+    fn waits_for_connections_stay_within_the_grace_and_idle_ones_close_early() {
+        let text = |grace: u64| {
+            format!(
+                r#"{{"lanes":[],"limits":{{"most-tries":1,"connect-timeout-us":250000,"conn-idle-us":15000000}},
+                "rules":{{"drain-grace-us":{grace}}}}}"#
+            )
+        };
+        let keeping = |grace| {
+            let sockets = Sockets { inbound: 1, spare: 1, idle: 320 };
+            Keeping::new(&serde_json::from_str(&text(grace)).unwrap(), &sockets)
+        };
+        assert_eq!(keeping(500_000).connect, Duration::from_millis(250));
+        assert_eq!(keeping(100_000).connect, Duration::from_millis(50));
+        assert_eq!(keeping(0).connect, Duration::from_millis(250));
+        assert_eq!(keeping(0).idle, Duration::from_secs(10));
+    }
+
+    #[test]
+    fn load_reports_are_read_in_either_form_and_nonsense_is_none() {
+        let free = |text: &str| read_report(text.as_bytes()).map(|r| r.free_slots);
+        assert_eq!(free("x0=3.5,eps=0"), Some(Some(3.5)));
+        assert_eq!(free(r#"{"x0":2,"util":0.5}"#), Some(Some(2.0)));
+        assert_eq!(free("x0=many"), None);
+        assert_eq!(free("{"), None);
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -157,6 +157,8 @@
 pub struct Rules {
     #[serde(default)]
     pub ask_within_us: u64,
+    #[serde(default)]
+    pub drain_grace_us: u64,
     #[serde(default = "whole")]
     pub cold_from: f64,
     #[serde(default)]
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -132,7 +132,7 @@
             clock,
             core: core.map_err(|e| io::Error::other(e.to_string()))?,
             gate: gate.clone(),
-            keeping: Keeping::new(&config.conf.limits, &config.sockets),
+            keeping: Keeping::new(&config.conf, &config.sockets),
             workers,
             hops: HashMap::new(),
             branches: HashMap::new(),
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -54,8 +54,12 @@
         ("conections", "listen = \"127.0.0.1:0\"\nconections = 3\n"),
         ("functions.push.class", "listen = \"127.0.0.1:0\"\n[functions.push]\nclass = \"other\"\n"),
         (
-            "functions.push.deadline_ms",
-            "listen = \"127.0.0.1:0\"\n[functions.push]\nclass = \"rate-push\"\ndeadline_ms = 0\n",
+            "functions.push.slots",
+            "listen = \"127.0.0.1:0\"
+[functions.push]
+class = \"rate-push\"
+slots = 0
+",
         ),
     ];
     for (n, (key, text)) in gearman.iter().enumerate() {
