--- a/src/log.rs
+++ b/src/log.rs
@@ -59,3 +59,18 @@
         }
     };
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    // Guards against a fault that repeats and floods the log.
+    #[test]
+    fn a_flood_is_cut_off_and_counted() {
+        let (mut quota, start) = (Quota::new(), Instant::now());
+        let written = (0..1_000).filter(|_| quota.take(start).is_some()).count();
+        assert_eq!(written, BURST as usize);
+        assert_eq!(quota.take(start + Duration::from_secs(1)), Some(1_000 - BURST as u64));
+    }
+}
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,131 @@
+//! The core alone, with a clock of the test's own: what comes in, and what it wants done.
+
+mod common;
+
+use bytes::Bytes;
+use common::{MS, START, settings};
+use pumiceway::api::{self, ClassId, KindId, Micros, ReportVia, Settings, WorkerState, ZoneId};
+use pumiceway::core::*;
+use std::sync::Arc;
+
+struct Stage {
+    core: Core,
+    now: Micros,
+}
+
+fn hop(name: &str, state: WorkerState) -> NextHop {
+    let reach = Reach::Address(format!("{name}:1"));
+    let (zone, kind) = (ZoneId(0), KindId(0));
+    NextHop { name: name.to_owned(), reach, zone, kind, cell: None, state, ready_at: 0, size: 1.0 }
+}
+
+impl Stage {
+    fn new(effect: api::Effect, hops: &[&str]) -> Stage {
+        let settings = Settings { probes: false, report_via: ReportVia::None, ..settings(effect) };
+        let core = Core::new(settings, 7, Retention::default()).unwrap();
+        let mut stage = Stage { core, now: START };
+        let lines = hops.iter().map(|h| hop(h, WorkerState::Ready)).collect();
+        stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(lines) });
+        stage
+    }
+
+    fn tell(&mut self, event: Event) -> Vec<Effect> {
+        self.core.reduce(self.now, event)
+    }
+
+    fn submit(&mut self, ticket: u64, left: Micros) -> Vec<Effect> {
+        let job = Arc::new(Job { id: ticket.to_string(), path: "/c/k".into(), body: Bytes::new() });
+        let class = ClassId(0);
+        let transaction = Transaction { class, left, slots: 1.0, memory: 0.0, job, identity: None };
+        self.tell(Event::Submitted { ticket: Ticket(ticket), transaction })
+    }
+
+    /// Lets time pass, with an alarm every few milliseconds.
+    fn pass(&mut self, span: Micros) -> Vec<Effect> {
+        let end = self.now + span;
+        let mut all = Vec::new();
+        while self.now < end {
+            self.now += 5 * MS;
+            all.extend(self.tell(Event::Due));
+        }
+        all
+    }
+}
+
+fn started(effects: &[Effect]) -> Vec<BranchId> {
+    effects
+        .iter()
+        .filter_map(|e| if let Effect::Start { branch, .. } = e { Some(*branch) } else { None })
+        .collect()
+}
+
+fn answers(effects: &[Effect]) -> Vec<&Answer> {
+    effects
+        .iter()
+        .filter_map(|e| if let Effect::Answer { answer, .. } = e { Some(answer) } else { None })
+        .collect()
+}
+
+// Guards against two answers, and against a late result that is served or counted after its branch was cut.
+#[test]
+fn a_branch_has_one_outcome_and_a_transaction_one_answer() {
+    let mut stage = Stage::new(api::Effect::Unsafe, &["a"]);
+    let branch = started(&stage.submit(1, 2_000 * MS))[0];
+    let late = stage.pass(2_000 * MS);
+    assert!(late.contains(&Effect::Cut { branch }));
+    assert!(matches!(answers(&late)[..], [Answer::Failed(_)]), "{late:?}");
+    for ending in [Ending::Served("x".into()), Ending::Reset] {
+        let after = stage.tell(Event::Ended { branch, ending, report: None });
+        assert!(answers(&after).is_empty() && started(&after).is_empty(), "{after:?}");
+    }
+    assert_eq!(stage.core.overview().classes, [(0, 0)]);
+}
+
+// Guards against an answer that comes only after the client has given up.
+#[test]
+fn answers_come_before_the_deadline() {
+    let mut stage = Stage::new(api::Effect::Safe, &[]);
+    let mut all = stage.submit(1, 5_000 * MS);
+    all.extend(stage.pass(4_995 * MS));
+    assert_eq!(answers(&all).len(), 1, "{all:?}");
+}
+
+// Guards against a send to a next hop after it was told to drain.
+#[test]
+fn a_draining_next_hop_gets_nothing_new() {
+    let mut stage = Stage::new(api::Effect::Safe, &["a"]);
+    let lines = vec![hop("a", WorkerState::Draining)];
+    stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Changes(lines) });
+    let mut all = stage.submit(1, 2_000 * MS);
+    all.extend(stage.pass(2_000 * MS));
+    assert!(started(&all).is_empty(), "{all:?}");
+}
+
+// Guards against one source's list wiping out what another lists.
+#[test]
+fn a_whole_list_speaks_for_its_own_source_only() {
+    let mut stage = Stage::new(api::Effect::Safe, &["a"]);
+    let lines = vec![hop("z", WorkerState::Ready)];
+    stage.tell(Event::Routes { source: Source::ZooKeeper, news: RouteNews::Whole(lines) });
+    stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(vec![]) });
+    let states: Vec<_> = stage.core.overview().hops.into_iter().map(|h| (h.name, h.state)).collect();
+    let expected = [("a".to_owned(), WorkerState::Gone), ("z".to_owned(), WorkerState::Ready)];
+    assert_eq!(states, expected);
+    assert_eq!(started(&stage.submit(1, 2_000 * MS)).len(), 1);
+}
+
+// Guards against an end that loses what was taken, and against one that never comes.
+#[test]
+fn a_stop_waits_for_the_crossing_and_for_what_is_owed() {
+    let mut stage = Stage::new(api::Effect::Safe, &["a"]);
+    stage.tell(Event::Terminate);
+    let branch = started(&stage.submit(1, 4_000 * MS))[0];
+    let crossing = stage.pass(500 * MS);
+    assert!(!crossing.contains(&Effect::CloseFronts));
+    let closing = stage.pass(200 * MS);
+    assert!(closing.contains(&Effect::CloseFronts));
+    let closed = stage.tell(Event::FrontsClosed);
+    assert!(!closed.contains(&Effect::Exit));
+    let done = stage.tell(Event::Ended { branch, ending: Ending::Served("x".into()), report: None });
+    assert!(done.contains(&Effect::Exit), "{done:?}");
+}
