--- a/src/balance.rs
+++ b/src/balance.rs
@@ -2,7 +2,7 @@
 //! kept of workers and requests, plain data, in `src/state.rs`.
 //!
 //! Reading order: script, validity, dispatch, request life, worker belief, list, probes and ticks.
-//! The mechanism is that of Allocation Priority Policies; `docs/design.md` lists every departure.
+//! The mechanism is that of Allocation Priority Policies; each departure is named so where it stands.
 
 use crate::api::*;
 use crate::state::*;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,6 @@
-//! pumiceway decides, for a dispatcher that pushes jobs to workers, where each job goes, when it waits,
+//! The decisions and the dispatcher built round them.
+//!
+//! The decision module says, for a dispatcher that pushes jobs to workers, where each job goes, when it waits,
 //! when it is refused, and what becomes of it when workers fail.
 //!
 //! It is sans-I/O: the host keeps the clock, the connections and the timers, hands events to
