SIGHUP moves the watch to the new discovery instead of ending the dispatcher

Nothing took SIGHUP (src/main.rs, serve), so the default action ended the program.

The handler is installed before the listener is bound. Reload::read in config.rs reads the file again: its discovery wins over ROUTER_DISCOVERY, known is not taken, keys that take a restart are logged, a file that can't be used is logged with its key and the old one stays. The core gets Event::Configured and asks for the watch with Effect::WatchAt; the shell keeps the old watch until the new one has told the whole list.

Found on the way: a watch from index 0 may begin with changes; the watcher took them for all there is (Watcher::heard). Without a known index it now asks for the whole list.

Tests: a hang-up, a bad file, a hang-up while stopping (tests/command.rs); the move of the watch (tests/fronts.rs).

--- a/src/config.rs
+++ b/src/config.rs
@@ -6,7 +6,7 @@
 use crate::settings::Conf;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -87,6 +87,39 @@
     pub gearman: Option<GearmanConfig>,
     /// A route set in ZooKeeper, where it is switched on.
     pub zookeeper: Option<ZooKeeperConfig>,
+    /// What takes a restart to change, by key, as written.
+    pub fixed: Fixed,
+}
+
+/// The values of keys that are read at the start only.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Fixed(BTreeMap<String, serde_json::Value>);
+
+impl Fixed {
+    /// The keys under which another configuration says something else.
+    fn changed(&self, other: &Fixed) -> Vec<String> {
+        let keys: BTreeSet<&String> = self.0.keys().chain(other.0.keys()).collect();
+        keys.into_iter().filter(|&key| self.0.get(key) != other.0.get(key)).cloned().collect()
+    }
+}
+
+/// What a configuration that is read again while the dispatcher serves has to say.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reload {
+    /// Where discovery is from now on.
+    pub discovery: String,
+    /// Keys that say something else than at the start, and take a restart.
+    pub needs_restart: Vec<String>,
+}
+
+impl Reload {
+    /// Reads the file named by `ROUTER_CONFIG` again. Its `discovery` wins over `ROUTER_DISCOVERY`, which tells
+    /// what was so at the start; `known` is older than what is known by now.
+    pub fn read(running: &Fixed, env: impl Fn(&str) -> Option<String>) -> Result<Reload, ConfigError> {
+        let config = Config::from_environment(|key| env(key).filter(|_| key != "ROUTER_DISCOVERY"))?;
+        let discovery = config.discovery.ok_or_else(|| bad("discovery", "missing"))?;
+        Ok(Reload { discovery, needs_restart: running.changed(&config.fixed) })
+    }
 }
 
 /// How the descriptors that the process may hold are shared out.
@@ -153,6 +186,7 @@
         file: &str,
         env: impl Fn(&str) -> Option<String>,
     ) -> Result<Config, ConfigError> {
+        let fixed = fixed(text);
         let mut parsed = serde_json::Deserializer::from_str(text);
         let written: Written = serde_path_to_error::deserialize(&mut parsed).map_err(at(file))?;
         let listen = env("ROUTER_LISTEN").or(written.listen).ok_or_else(|| bad("listen", "missing"))?;
@@ -185,10 +219,22 @@
             settings,
             gearman: None,
             zookeeper: None,
+            fixed,
         })
     }
 }
 
+/// All of a configuration but what is read again; of the settings, each key by itself.
+fn fixed(text: &str) -> Fixed {
+    let mut all: BTreeMap<String, serde_json::Value> = serde_json::from_str(text).unwrap_or_default();
+    // The seed is new with each start, and the list that was known with each writing of the file.
+    all.retain(|key, _| !["discovery", "known", "seed"].contains(&key.as_str()));
+    if let Some(serde_json::Value::Object(settings)) = all.remove("settings") {
+        all.extend(settings.into_iter().map(|(key, value)| (format!("settings.{key}"), value)));
+    }
+    Fixed(all)
+}
+
 /// The file that switches on a route set in ZooKeeper, as written.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -156,6 +156,15 @@
         /// What it tells.
         news: RouteNews,
     },
+    /// The configuration has been read, at the start or again.
+    Configured {
+        /// Where discovery is.
+        discovery: Option<String>,
+        /// Version of the list that is known from there; without one the whole list comes first.
+        index: Option<u64>,
+        /// Keys that take a restart to change, and have changed.
+        needs_restart: Vec<String>,
+    },
     /// The time asked for by [`Effect::Alarm`] has come.
     Due,
     /// The dispatcher is to stop.
@@ -217,6 +226,13 @@
     },
     /// See that the route set is being watched.
     Watch,
+    /// Watch the discovery service at this address, and no other once it has been heard there.
+    WatchAt {
+        /// Where it is.
+        address: String,
+        /// Version of the list that is known from there; without one the whole list comes first.
+        index: Option<u64>,
+    },
     /// Send [`Event::Due`] at this time; replaces any earlier one.
     Alarm {
         /// When.
--- a/src/core/reducer.rs
+++ b/src/core/reducer.rs
@@ -24,6 +24,7 @@
     max_attempts: usize,
     classes: usize,
     routes: RouteSet,
+    discovery: Option<String>,
     transactions: BTreeMap<RequestId, Open>,
     tickets: HashMap<Ticket, RequestId>,
     branches: BTreeMap<BranchId, Branch>,
@@ -87,6 +88,7 @@
             classes: settings.classes.len(),
             balancer: Balancer::new(settings, seed)?,
             routes: RouteSet::default(),
+            discovery: None,
             transactions: BTreeMap::new(),
             tickets: HashMap::new(),
             branches: BTreeMap::new(),
@@ -117,6 +119,17 @@
                 }
             }
             Event::Routes { source, news } => self.routes(source, news, &mut out),
+            Event::Configured { discovery, index, needs_restart } => {
+                if !needs_restart.is_empty() {
+                    let keys = needs_restart.join(", ");
+                    out.push(Effect::Log(format!("configuration: {keys} changed, which takes a restart")));
+                }
+                // Prevents: a configuration that changes nothing here drops a watch that stands.
+                if let Some(address) = discovery.filter(|d| self.discovery.as_ref() != Some(d)) {
+                    self.discovery = Some(address.clone());
+                    out.push(Effect::WatchAt { address, index });
+                }
+            }
             Event::Due => self.due(now, &mut out),
             Event::Terminate if self.drain == Drain::Serving => {
                 self.drain = Drain::Crossing;
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -111,8 +111,8 @@
     pub address: String,
     /// What its words mean.
     pub conf: Arc<Conf>,
-    /// The version that is known already.
-    pub index: u64,
+    /// The version that is known already; without one the whole list comes first.
+    pub index: Option<u64>,
     /// Wakes the watcher from a pause.
     pub nudge: Arc<Notify>,
     /// Who is told.
@@ -163,11 +163,11 @@
                 text.extend_from_slice(&frame);
                 check_length(&text)?;
             }
-            self.heard(&text)?;
+            self.heard(&text, true)?;
             // The list may have left the connection unusable.
             sender = self.connect().await?;
         }
-        let path = format!("/api/targets?stream=1&index={}", self.index);
+        let path = format!("/api/targets?stream=1&index={}", self.index.unwrap_or_default());
         let mut body = self.call(&mut sender, &path).await?;
         let mut line = Vec::new();
         while let Some(frame) = next(&mut body, SILENCE).await? {
@@ -175,21 +175,26 @@
                 line.extend_from_slice(part);
                 check_length(&line)?;
                 if part.ends_with(b"\n") {
-                    self.heard(&std::mem::take(&mut line))?;
+                    self.heard(&std::mem::take(&mut line), false)?;
                 }
             }
         }
         Ok(())
     }
 
-    fn heard(&mut self, line: &[u8]) -> Result<(), Broken> {
+    /// Takes in a line, or the answer to a call that asked for the whole list.
+    fn heard(&mut self, line: &[u8], asked: bool) -> Result<(), Broken> {
         if line.trim_ascii().is_empty() {
             return Ok(());
         }
         let listing: Listing =
             serde_json::from_slice(line).map_err(|e| Broken::Malformed(format!("malformed line: {e}")))?;
-        self.index = listing.index;
         let whole = listing.snapshot;
+        // Prevents: changes to a list that was never told are taken for all there is.
+        if self.index.is_none() && !whole && !asked {
+            return Err(Broken::Malformed("changes came before the whole list".into()));
+        }
+        self.index = Some(listing.index);
         let hops = listing.hops(&self.conf);
         let news = if whole { RouteNews::Whole(hops) } else { RouteNews::Changes(hops) };
         self.tell.send((Source::Discovery, news)).map_err(|_| Broken::Unheard)
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,7 +1,8 @@
 //! The command line.
 
 use argh::FromArgs;
-use pumiceway::config::{Config, ConfigError, GearmanConfig, ZooKeeperConfig};
+use pumiceway::config::{Config, ConfigError, GearmanConfig, Reload, ZooKeeperConfig};
+use pumiceway::log;
 use pumiceway::shell::Dispatcher;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -107,13 +108,25 @@
     let run = async {
         let (mut terminate, mut interrupt) =
             (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+        let mut hangup = signal(SignalKind::hangup())?;
+        let (tell, reloads) = tokio::sync::mpsc::unbounded_channel();
+        let fixed = config.fixed.clone();
+        tokio::spawn(async move {
+            while hangup.recv().await.is_some() {
+                // Prevents: a file that is wrong or half written takes a dispatcher down that serves.
+                match Reload::read(&fixed, |key| std::env::var(key).ok()) {
+                    Ok(reload) => drop(tell.send(reload)),
+                    Err(e) => log!("configuration not taken, the old one stays: {e}"),
+                }
+            }
+        });
         let stop = async {
             tokio::select! {
                 _ = terminate.recv() => {}
                 _ = interrupt.recv() => {}
             }
         };
-        Dispatcher::bind(config).await?.run(stop).await
+        Dispatcher::bind(config).await?.run(stop, reloads).await
     };
     runtime.block_on(run).map_err(|e: std::io::Error| e.to_string())
 }
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -1,7 +1,7 @@
 //! The shell: carries out what the core asks for, and tells it what has become of it.
 
 use crate::api::{ClassId, Micros, Report, Status, WorkerId};
-use crate::config::{Config, GearmanConfig};
+use crate::config::{Config, GearmanConfig, Reload};
 use crate::core::Ticket;
 use crate::core::{
     Answer, BranchId, Core, Effect, Ending, Event, Job, News, Reach, Retention, RouteNews, Source,
@@ -14,6 +14,7 @@
 use crate::front::{Gate, Heard};
 use crate::hop::{self, Hop, Keeping, Teller};
 use crate::log;
+use crate::settings::Conf;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -58,11 +59,41 @@
     hops: HashMap<WorkerId, Hop>,
     branches: HashMap<BranchId, (hop::Branch, AbortHandle)>,
     waiting: HashMap<Ticket, (oneshot::Sender<Answer>, Option<mpsc::UnboundedSender<News>>)>,
-    nudge: Arc<Notify>,
     ready: Arc<AtomicBool>,
     close: watch::Sender<bool>,
     alarm: Option<Micros>,
     exit: bool,
+    conf: Arc<Conf>,
+    /// The watch that is believed, and one elsewhere that has yet to tell the whole list.
+    watch: Option<Watch>,
+    next_watch: Option<Watch>,
+}
+
+/// A watch of a discovery service; ends when dropped.
+struct Watch {
+    told: mpsc::UnboundedReceiver<(Source, RouteNews)>,
+    nudge: Arc<Notify>,
+    _task: JoinSet<()>,
+}
+
+impl Watch {
+    fn start(address: String, conf: Arc<Conf>, index: Option<u64>) -> Watch {
+        let (tell, told) = mpsc::unbounded_channel();
+        let nudge = Arc::<Notify>::default();
+        let mut task = JoinSet::new();
+        task.spawn(Watcher { address, conf, index, nudge: nudge.clone(), tell }.run());
+        Watch { told, nudge, _task: task }
+    }
+
+    async fn news(watch: &mut Option<Watch>) -> (Source, RouteNews) {
+        match watch {
+            Some(watch) => match watch.told.recv().await {
+                Some(told) => told,
+                None => std::future::pending().await,
+            },
+            None => std::future::pending().await,
+        }
+    }
 }
 
 struct BranchTeller {
@@ -107,8 +138,13 @@
         Ok((self.listener.local_addr()?, gearman))
     }
 
-    /// Serves until told to stop and all that was taken is answered.
-    pub async fn run(self, stop: impl Future<Output = ()>) -> io::Result<()> {
+    /// Serves until told to stop and all that was taken is answered; configurations that are read meanwhile
+    /// come through `reloads`.
+    pub async fn run(
+        self,
+        stop: impl Future<Output = ()>,
+        mut reloads: mpsc::UnboundedReceiver<Reload>,
+    ) -> io::Result<()> {
         let Dispatcher { mut config, gearman, listener } = self;
         let (name, address) = (config.name, listener.local_addr()?);
         let clock = Clock::start();
@@ -137,23 +173,23 @@
             hops: HashMap::new(),
             branches: HashMap::new(),
             waiting: HashMap::new(),
-            nudge: Arc::default(),
             ready: Arc::default(),
             close,
             alarm: None,
             exit: false,
+            conf: config.conf.clone(),
+            watch: None,
+            next_watch: None,
         };
         let routes = |news| Event::Routes { source: Source::Discovery, news };
-        let known = config.known.unwrap_or_default();
-        let index = known.index;
-        shell.feed(routes(RouteNews::WarmCopy(known.hops(&config.conf))));
-        let (tell, mut told) = mpsc::unbounded_channel();
-        if let Some(address) = config.discovery {
-            let (conf, nudge) = (config.conf.clone(), shell.nudge.clone());
-            tokio::spawn(Watcher { address, conf, index, nudge, tell: tell.clone() }.run());
-        } else {
+        let index = config.known.as_ref().map(|known| known.index);
+        let known = config.known.unwrap_or_default().hops(&config.conf);
+        shell.feed(routes(RouteNews::WarmCopy(known)));
+        if config.discovery.is_none() {
             shell.feed(routes(RouteNews::Changes(vec![])));
         }
+        shell.feed(Event::Configured { discovery: config.discovery, index, needs_restart: vec![] });
+        let (tell, mut told) = mpsc::unbounded_channel();
         if let Some(zookeeper) = config.zookeeper {
             tokio::spawn(Nodes { config: zookeeper, conf: config.conf.clone(), tell }.run());
         }
@@ -172,6 +208,18 @@
             tokio::select! {
                 Some(heard) = heard.recv() => shell.hear(heard),
                 Some((source, news)) = told.recv() => shell.feed(Event::Routes { source, news }),
+                (source, news) = Watch::news(&mut shell.watch) => shell.feed(Event::Routes { source, news }),
+                (source, news) = Watch::news(&mut shell.next_watch) => {
+                    // Prevents: the old watch is dropped for one that has told nothing yet.
+                    if matches!(news, RouteNews::Whole(_)) {
+                        shell.watch = shell.next_watch.take();
+                        shell.feed(Event::Routes { source, news });
+                    }
+                }
+                Some(Reload { discovery, needs_restart }) = reloads.recv() => {
+                    let discovery = Some(discovery);
+                    shell.feed(Event::Configured { discovery, index: None, needs_restart });
+                }
                 () = due, if alarm.is_some() => {
                     shell.alarm = None;
                     shell.feed(Event::Due);
@@ -254,7 +302,17 @@
                 });
             }
             Effect::Disconnect { hop } => drop(self.hops.remove(&hop)),
-            Effect::Watch => self.nudge.notify_one(),
+            Effect::Watch => {
+                let watches = [&self.watch, &self.next_watch];
+                watches.into_iter().flatten().for_each(|w| w.nudge.notify_one());
+            }
+            Effect::WatchAt { address, index } => {
+                let watch = Watch::start(address, self.conf.clone(), index);
+                match self.watch {
+                    None => self.watch = Some(watch),
+                    Some(_) => self.next_watch = Some(watch),
+                }
+            }
             Effect::Alarm { at } => self.alarm = Some(at),
             Effect::Ready => self.ready.store(true, Ordering::Relaxed),
             Effect::CloseFronts => drop(self.close.send(true)),
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -114,3 +114,40 @@
     assert!(child.wait().unwrap().success());
     std::fs::remove_file(config).unwrap();
 }
+
+// Guards against a hang-up that ends the program, a reload that goes unheard, and a bad file that takes it down.
+#[test]
+fn a_hang_up_reads_the_configuration_again_and_a_bad_one_is_not_taken() {
+    use std::io::{BufRead, BufReader};
+    let discovery = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let (old, address) = ("127.0.0.1:1", discovery.local_addr().unwrap().to_string());
+    let text = format!(r#"{{"listen":"127.0.0.1:0","discovery":"{old}","settings":{SETTINGS}}}"#);
+    let config = file("hang-up.json", &text);
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pumiceway"))
+        .arg("serve")
+        .env_clear()
+        .env("ROUTER_CONFIG", &config)
+        .env("ROUTER_DISCOVERY", old)
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    let (signal, mut log) = (child.id().to_string(), BufReader::new(child.stderr.take().unwrap()).lines());
+    let send = |name: &str| assert!(Command::new("kill").args([name, &signal]).status().unwrap().success());
+    let mut until = |part: &str| log.any(|line| line.unwrap().contains(part));
+    assert!(until("listens at"));
+    std::fs::write(&config, text.replace(old, "nowhere")).unwrap();
+    send("-HUP");
+    assert!(until("the old one stays: discovery: \"nowhere\""));
+    std::fs::write(&config, text.replace(old, &address).replace("\"most-tries\":6", "\"most-tries\":5"))
+        .unwrap();
+    send("-HUP");
+    assert!(until("settings.limits changed, which takes a restart"));
+    // The file's address wins over the variable's, which told of the start.
+    let mut asked = String::new();
+    BufReader::new(discovery.accept().unwrap().0).read_line(&mut asked).unwrap();
+    assert!(asked.starts_with("GET /api/targets"), "{asked}");
+    send("-TERM");
+    send("-HUP");
+    assert!(child.wait().unwrap().success());
+    std::fs::remove_file(config).unwrap();
+}
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -184,6 +184,52 @@
     );
 }
 
+// Guards against a reload that leaves the dispatcher at the old discovery, that drops the old watch before the new
+// one has told the whole list, or that takes the first changes there for all there is.
+#[test]
+fn a_reload_moves_the_watch_once_the_whole_list_is_told() {
+    let mut stage = Stage::play(
+        &["w1", "w2", "discovery", "discovery2"],
+        "discovery wait d
+         d expect GET /api/targets?stream=1&index=1
+         d send 200",
+    );
+    let line = |hop: &str, port: u16, status: &str| {
+        format!(
+            r#"{{"name":"{hop}","address":"127.0.0.1:{port}","zone":"z","type":"k","status":"{status}"}}"#
+        )
+    };
+    let w2 = stage.port("w2");
+    // Told twice, as signals may come close together: one watch comes up.
+    stage.reload("discovery2");
+    stage.reload("discovery2");
+    let (drains, ready) = (line("w1", 1, "draining"), line("w2", w2, "ready"));
+    stage.go_on(&format!(
+        r#"discovery2 wait e
+           e expect GET /api/targets?stream=1&index=0
+           e send 200
+           # The old watch still holds: w1 drains by its word.
+           d send + {{"index":2,"snapshot":false,"endpoints":[{drains}]}}
+           c send POST /rate-push/k t1 5000 x
+           w2 wait a
+           a expect POST /rate-push/k t1
+           a send done 1
+           c expect 200 1
+           e send + {{"index":7,"snapshot":false,"endpoints":[]}}
+           discovery2 wait f
+           f expect GET /api/targets
+           f send json {{"index":8,"snapshot":true,"endpoints":[{ready}]}}
+           discovery2 wait g
+           g expect GET /api/targets?stream=1&index=8
+           g send 200
+           d expect end
+           g send + {{"index":9,"snapshot":false,"endpoints":[{}]}}
+           c send POST /rate-push/k t2 5000 x
+           c expect 503"#,
+        line("w2", w2, "draining")
+    ));
+}
+
 #[test]
 fn a_dispatcher_that_is_stopped_answers_what_it_has_taken() {
     let mut stage = Stage::play(
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -17,7 +17,7 @@
 //! A peer connects with its first line. Each expect and wait gives up after some seconds.
 #![allow(dead_code)] // each test file uses its own part
 
-use pumiceway::config::{Config, GearmanConfig, ZooKeeperConfig};
+use pumiceway::config::{Config, GearmanConfig, Reload, ZooKeeperConfig};
 use pumiceway::shell::Dispatcher;
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
@@ -62,6 +62,7 @@
     listeners: HashMap<String, TcpListener>,
     peers: HashMap<String, Peer>,
     kept: HashMap<String, String>,
+    reload: tokio::sync::mpsc::UnboundedSender<Reload>,
     stop: Option<tokio::sync::oneshot::Sender<()>>,
     thread: Option<std::thread::JoinHandle<()>>,
 }
@@ -94,8 +95,13 @@
         let line = |h: &&&str| {
             format!(r#"{{"name":"{h}","address":"{}","zone":"z","type":"k","status":"ready"}}"#, at(h))
         };
-        let known: Vec<_> =
-            hops.iter().filter(|h| **h != "discovery").collect::<Vec<_>>().iter().map(line).collect();
+        let known: Vec<_> = hops
+            .iter()
+            .filter(|h| !h.starts_with("discovery"))
+            .collect::<Vec<_>>()
+            .iter()
+            .map(line)
+            .collect();
         let discovery = hops.contains(&"discovery").then(|| format!(r#""discovery":"{}","#, at("discovery")));
         let text = format!(
             r#"{{"listen":"127.0.0.1:0","seed":"7",{}"known":{{"index":1,"snapshot":true,"endpoints":[{}]}},"settings":{SETTINGS}}}"#,
@@ -114,12 +120,13 @@
         std::fs::remove_file(&file).unwrap();
         let (stop, stopped) = tokio::sync::oneshot::channel();
         let (tell, told) = std::sync::mpsc::channel();
+        let (reload, reloads) = tokio::sync::mpsc::unbounded_channel();
         let thread = std::thread::spawn(move || {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             runtime.block_on(async {
                 let dispatcher = Dispatcher::bind(config).await.unwrap();
                 tell.send(dispatcher.addresses().unwrap()).unwrap();
-                dispatcher.run(async { drop(stopped.await) }).await.unwrap();
+                dispatcher.run(async { drop(stopped.await) }, reloads).await.unwrap();
             });
         });
         let (http, gearman) = told.recv().unwrap();
@@ -130,6 +137,7 @@
             listeners,
             peers: HashMap::new(),
             kept,
+            reload,
             stop: Some(stop),
             thread: Some(thread),
         }
@@ -182,6 +190,16 @@
         self.listeners.insert(hop.to_owned(), listener);
     }
 
+    pub fn port(&self, listener: &str) -> u16 {
+        self.listeners[listener].local_addr().unwrap().port()
+    }
+
+    /// Has the dispatcher take a configuration whose discovery is at this listener.
+    pub fn reload(&mut self, discovery: &str) {
+        let discovery = self.listeners[discovery].local_addr().unwrap().to_string();
+        self.reload.send(Reload { discovery, needs_restart: vec![] }).unwrap();
+    }
+
     /// Tells the dispatcher to stop.
     pub fn stop(&mut self) {
         drop(self.stop.take());
