Connections that hold no request give way; short patience; framing checked; used ids rejected

Checked in hyper's source: it hides repeated equal lengths, drops Content-Length beside Transfer-Encoding, and drops a fragment of the target; so bytes are watched before it parses them (src/front/admission.rs).

Now a request is whole within 2 s of its connection or of its first byte, the wait between two is 120 s; with no room left those go first that hold no request; a third of the descriptors and more are for clients; every 4xx ends its connection, after the rest was read for at most 1 s so that no reset takes the answer away. A second answerless transaction under one id is rejected in the core with 409.

The room is still taken up, now by requests held: looked at next.

--- a/src/config.rs
+++ b/src/config.rs
@@ -134,15 +134,22 @@
 }
 
 /// Descriptors for all else: listeners, discovery, probes, standard streams.
-const RESERVE: usize = 64;
+const RESERVE: usize = 32;
+/// What a connection of a client may hold in memory: a body, and what is read ahead.
+const HELD_MOST: usize = 96 << 10;
 /// Fewer leave nothing to work with.
 const SOCKETS_LEAST: usize = 128;
 
 impl Sockets {
     /// A served connection has at most two branches out, each on a connection of its own.
-    fn share_out(sockets: usize) -> Sockets {
+    ///
+    /// Clients may take up a third of the descriptors; beside them there is room for those who ask for nothing,
+    /// until they are told from the others.
+    fn share_out(sockets: usize, memory_mb: u64) -> Sockets {
         let free = sockets - RESERVE;
-        Sockets { inbound: free / 5, spare: free / 10, idle: free * 3 / 10 }
+        let fit = (memory_mb << 20) as usize / 2 / HELD_MOST;
+        let inbound = (free * 11 / 20).min(fit);
+        Sockets { inbound, spare: free / 20, idle: free / 5 }
     }
 }
 
@@ -213,7 +220,7 @@
             listen,
             discovery,
             seed,
-            sockets: Sockets::share_out(written.limits.sockets),
+            sockets: Sockets::share_out(written.limits.sockets, written.limits.memory_mb),
             known: written.known,
             conf: Arc::new(written.settings),
             settings,
--- a/src/core/kept.rs
+++ b/src/core/kept.rs
@@ -87,7 +87,7 @@
         self.running = self.running.saturating_sub(1);
         let mut answer = answer.clone();
         match &answer {
-            Answer::Busy { .. } => {
+            Answer::Busy { .. } | Answer::Rejected(_) => {
                 self.known.remove(&identity);
                 return;
             }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -64,6 +64,8 @@
     },
     /// Failed; it may have run.
     Failed(&'static str),
+    /// Not taken, and not to be tried again as it is; it has not run.
+    Rejected(&'static str),
 }
 
 /// News of a branch that is still out.
--- a/src/core/reducer.rs
+++ b/src/core/reducer.rs
@@ -6,7 +6,7 @@
 use crate::Balancer;
 use crate::api::{self, Action, Incoming, ListKind, Note, Outcome, Probed, Progress, RequestId};
 use crate::api::{Settings, SettingsError};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// A branch is not waited for up to the client's deadline, nor an answer: they must arrive before it.
 const BRANCH_MARGIN: Micros = 25_000;
@@ -27,6 +27,8 @@
     discovery: Option<String>,
     transactions: BTreeMap<RequestId, Open>,
     tickets: HashMap<Ticket, RequestId>,
+    /// Ids of transactions whose answer is owed.
+    ids: HashSet<String>,
     branches: BTreeMap<BranchId, Branch>,
     probes: BTreeMap<u64, (WorkerId, Micros)>,
     kept: Kept,
@@ -91,6 +93,7 @@
             discovery: None,
             transactions: BTreeMap::new(),
             tickets: HashMap::new(),
+            ids: HashSet::new(),
             branches: BTreeMap::new(),
             probes: BTreeMap::new(),
             kept: Kept::new(retention),
@@ -305,6 +308,11 @@
                 }
             }
         }
+        // Prevents: one client's transaction is mixed up with another's that goes under the same id.
+        if !self.ids.insert(t.job.id.clone()) {
+            let answer = Answer::Rejected("the id is in use");
+            return out.push(Effect::Answer { ticket, answer });
+        }
         let request = RequestId(self.next_id());
         if let Some(identity) = &t.identity {
             self.kept.begin(identity.clone(), request);
@@ -351,6 +359,7 @@
     fn end(&mut self, request: RequestId) {
         if let Some(open) = self.transactions.get_mut(&request) {
             open.answered = true;
+            self.ids.remove(&open.job.id);
             self.timers.remove(&(open.deadline.saturating_sub(ANSWER_MARGIN), Timer::Transaction(request)));
         }
         self.forget(request);
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -131,7 +131,8 @@
 impl Watcher {
     /// Lists and watches, again and again.
     pub async fn run(mut self) {
-        let (mut pause, mut list_first) = (PAUSE_FIRST, false);
+        // Prevents: a watch from nowhere begins with what changes next, and a second call has to ask for the list.
+        let (mut pause, mut list_first) = (PAUSE_FIRST, self.index.is_none());
         loop {
             let before = self.index;
             let broken = match self.round(list_first).await {
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -1,6 +1,7 @@
 //! The HTTP front: the platform's protocol, thin, on axum.
 
 use super::Gate;
+use super::admission::{Admission, Place, Seat, Tap};
 use crate::api::{ClassId, Micros};
 use crate::config::Sockets;
 use crate::core::{Answer, Job, Transaction};
@@ -8,24 +9,30 @@
 use crate::settings::Conf;
 use axum::Router;
 use axum::body::Body;
-use axum::extract::{DefaultBodyLimit, FromRequest, Request, State};
-use axum::http::{HeaderMap, Method, StatusCode, header};
+use axum::extract::{DefaultBodyLimit, Extension, FromRequest, Request, State};
+use axum::http::{HeaderMap, HeaderValue, Method, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{any, get};
 use bytes::Bytes;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::service::TowerToHyperService;
+use hyper::body::{Body as _, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::future::poll_fn;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until, timeout_at};
+use tower_service::Service as _;
 
 /// A body holds at most this much.
 pub const BODY_MOST: usize = 64 << 10;
-/// A body is there within this time after its head, and a head within this time.
-const BODY_PATIENCE: Duration = Duration::from_secs(30);
-const HEAD_PATIENCE: Duration = Duration::from_secs(60);
+/// A head holds at most this much.
+const HEAD_MOST: usize = 16 << 10;
+/// So long before patience with a connection ends, a body that has not come whole is given up with an answer.
+const LAST_WORD: Duration = Duration::from_millis(200);
 /// Longer waits are cut to this.
 const LEFT_MOST_MS: u64 = 24 * 60 * 60 * 1_000;
 /// Advice to come back where too many connections are open, in seconds.
@@ -46,8 +53,9 @@
 struct Bad(StatusCode, &'static str);
 
 impl IntoResponse for Bad {
+    /// Prevents: what comes behind a request that can't be used is taken for another one.
     fn into_response(self) -> Response {
-        (self.0, self.1).into_response()
+        (self.0, [(header::CONNECTION, "close")], self.1).into_response()
     }
 }
 
@@ -69,7 +77,7 @@
     /// Serves clients until told to close, and then until the last of them has left.
     pub async fn serve(self, listener: TcpListener, sockets: Sockets, mut closing: Closing) {
         let router = self.router();
-        let open = Arc::new(AtomicUsize::new(0));
+        let admission = Admission::new(sockets.inbound, sockets.spare);
         let (gone, mut all_gone) = tokio::sync::mpsc::channel::<()>(1);
         loop {
             let stream = tokio::select! {
@@ -84,23 +92,18 @@
                 },
                 () = closed(&mut closing) => break,
             };
-            let count = open.fetch_add(1, Ordering::Relaxed);
-            let (closing, open, gone) = (closing.clone(), open.clone(), gone.clone());
-            let router = match count < sockets.inbound {
+            let Some(place) = admission.admit(Instant::now()) else { continue };
+            let (closing, gone) = (closing.clone(), gone.clone());
+            let router = match place.served {
                 true => router.clone(),
                 // Prevents: clients beyond what can be served take the sockets of those within.
-                false if count < sockets.inbound + sockets.spare => {
-                    log!("{count} connections of clients: a further one gets a busy answer");
-                    Router::new().fallback(too_many)
-                }
                 false => {
-                    open.fetch_sub(1, Ordering::Relaxed);
-                    continue;
+                    log!("{} connections of clients: a further one gets a busy answer", sockets.inbound);
+                    Router::new().fallback(too_many)
                 }
             };
             tokio::spawn(async move {
-                serve_connection(stream, router, closing).await;
-                open.fetch_sub(1, Ordering::Relaxed);
+                serve_connection(stream, router, place, closing).await;
                 drop(gone);
             });
         }
@@ -114,19 +117,39 @@
     let _ = closing.wait_for(|c| *c).await;
 }
 
-async fn serve_connection(stream: TcpStream, router: Router, mut closing: Closing) {
+async fn serve_connection(stream: TcpStream, router: Router, place: Place, mut closing: Closing) {
     let _ = stream.set_nodelay(true);
+    let seat = place.seat.clone();
+    let service = service_fn(|request: hyper::Request<Incoming>| {
+        let mut request = request.map(Body::new);
+        request.extensions_mut().insert(seat.clone());
+        let (answer, seat) = (router.clone().call(request), seat.clone());
+        async move { answer.await.inspect(|_| seat.answers()) }
+    });
     let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_PATIENCE)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
+        .max_buf_size(HEAD_MOST)
+        .serve_connection(TokioIo::new(Tap::new(stream, place.seat.clone())), service);
     let mut connection = std::pin::pin!(connection);
-    tokio::select! {
-        _ = connection.as_mut() => return,
-        () = closed(&mut closing) => connection.as_mut().graceful_shutdown(),
-    }
-    // An error here is a client that broke off, or that doesn't speak HTTP: hyper has answered it.
-    let _ = connection.await;
+    let mut patience = std::pin::pin!(sleep_until(place.seat.due()));
+    let mut wanted = std::pin::pin!(place.seat.wanted());
+    let mut closed = std::pin::pin!(closed(&mut closing));
+    let mut open = true;
+    poll_fn(|cx| {
+        if open && closed.as_mut().poll(cx).is_ready() {
+            open = false;
+            connection.as_mut().graceful_shutdown();
+        }
+        // An error here is a client that broke off, or that doesn't speak HTTP: hyper has answered it.
+        if connection.as_mut().poll(cx).is_ready() || wanted.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(());
+        }
+        let due = place.seat.due();
+        if patience.deadline() != due {
+            patience.as_mut().reset(due);
+        }
+        patience.as_mut().poll(cx)
+    })
+    .await;
 }
 
 async fn ready(State(front): State<Front>) -> StatusCode {
@@ -145,14 +168,28 @@
     (StatusCode::SERVICE_UNAVAILABLE, headers, "too many connections")
 }
 
-async fn submit(State(front): State<Front>, request: Request) -> Result<Response, Bad> {
-    let transaction = read(&front.conf, request).await?;
-    Ok(respond(front.gate.submit(transaction, None).answer().await))
+async fn submit(
+    State(front): State<Front>,
+    Extension(seat): Extension<Arc<Seat>>,
+    request: Request,
+) -> Result<Response, Bad> {
+    let length = request.body().size_hint().exact();
+    let transaction = read(&front.conf, &seat, request).await?;
+    seat.holds();
+    let mut response = respond(front.gate.submit(transaction, None).answer().await);
+    // Prevents: what came while the request was held is taken for the next one.
+    if seat.excess(length) {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
 }
 
 /// A transaction from a request.
-async fn read(conf: &Conf, request: Request) -> Result<Transaction, Bad> {
+async fn read(conf: &Conf, seat: &Seat, request: Request) -> Result<Transaction, Bad> {
     let malformed = |what| Bad(StatusCode::BAD_REQUEST, what);
+    if let Some(fault) = seat.head_fault() {
+        return Err(malformed(fault));
+    }
     if request.method() != Method::POST {
         return Err(Bad(StatusCode::METHOD_NOT_ALLOWED, "jobs come by POST"));
     }
@@ -183,19 +220,27 @@
         }
     }
     // Prevents: a body that is too large is waited for before it is turned down.
-    let length = header(headers, "content-length")?.and_then(|l| l.parse::<usize>().ok());
-    if length.is_some_and(|l| l > BODY_MOST) {
+    let length = request.body().size_hint().exact();
+    if length.is_some_and(|l| l > BODY_MOST as u64) {
         return Err(Bad(StatusCode::PAYLOAD_TOO_LARGE, "a body holds 64 KiB at most"));
     }
-    let body = tokio::time::timeout(BODY_PATIENCE, Bytes::from_request(request, &())).await;
+    let body = timeout_at(seat.due() - LAST_WORD, Bytes::from_request(request, &())).await;
     let body = body.map_err(|_| Bad(StatusCode::REQUEST_TIMEOUT, "the body took too long"))?;
     let body = body.map_err(|e| Bad(e.status(), "the body can't be read"))?;
+    if seat.excess(length) {
+        return Err(malformed("more came than Content-Length says"));
+    }
     let job = Arc::new(Job { id, path, body });
     Ok(Transaction { class: ClassId(class), left, slots, memory, job, identity: None })
 }
 
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Bad> {
-    let Some(value) = headers.get(name) else { return Ok(None) };
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    // Prevents: one of two that contradict each other is believed, and a next hop believes the other.
+    if values.next().is_some() {
+        return Err(Bad(StatusCode::BAD_REQUEST, "a header comes twice"));
+    }
     value.to_str().map(|v| Some(v.trim())).map_err(|_| Bad(StatusCode::BAD_REQUEST, "a header is not text"))
 }
 
@@ -211,6 +256,7 @@
             let seconds = format!("{:.3}", after as f64 / 1e6);
             (StatusCode::SERVICE_UNAVAILABLE, [(header::RETRY_AFTER, seconds)]).into_response()
         }
+        Answer::Rejected(why) => Bad(StatusCode::CONFLICT, why).into_response(),
         Answer::Failed(why) => (StatusCode::BAD_GATEWAY, why).into_response(),
     }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,5 +1,6 @@
 //! The fronts: how clients hand in transactions and get their answers. All meet the same core.
 
+pub mod admission;
 pub mod gearman;
 pub mod http;
 
--- a/tests/stage/mod.rs
+++ b/tests/stage/mod.rs
@@ -200,6 +200,21 @@
         self.reload.send(Reload { discovery, needs_restart: vec![] }).unwrap();
     }
 
+    /// Waits until the route set shows a line.
+    pub fn until_listed(&mut self, hop: &str, state: &str) {
+        let (line, end) = (format!("{hop}\t{state}\t"), Instant::now() + PATIENCE);
+        loop {
+            let mut peer = Peer::new(TcpStream::connect(self.gearman).unwrap());
+            peer.send("raw routes\\n");
+            let routes = peer.text_to(".\n");
+            if routes.contains(&line) {
+                return;
+            }
+            assert!(Instant::now() < end, "no {line:?} in {routes}");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+
     /// Tells the dispatcher to stop.
     pub fn stop(&mut self) {
         drop(self.stop.take());
