Deadlines capped at the class's; unusable jobs not sent on; room kept from the ready-askers

The core now caps the time left at the class's deadline. Bad requests that came to next hops were answered 4xx and sent on to up to six of them: such an answer is now final. With the front full, 180 of 193 connections had asked for /-/ready and stayed: those go first now.

Tests: tests/core.rs, src/front/admission.rs.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -65,7 +65,26 @@
     /// Failed; it may have run.
     Failed(&'static str),
     /// Not taken, and not to be tried again as it is; it has not run.
-    Rejected(&'static str),
+    Rejected(Rejection),
+}
+
+/// Why a transaction is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    /// Its id belongs to another one that is open.
+    IdInUse,
+    /// A next hop can't make anything of it.
+    Unusable,
+}
+
+impl Rejection {
+    /// In words.
+    pub fn why(self) -> &'static str {
+        match self {
+            Rejection::IdInUse => "the id is in use",
+            Rejection::Unusable => "no next hop can use it",
+        }
+    }
 }
 
 /// News of a branch that is still out.
@@ -88,6 +107,8 @@
     Served(Bytes),
     /// The next hop failed at it; it may have run.
     Error,
+    /// The next hop says that the job is wrong, as any other would.
+    Unusable,
     /// Turned away or handed back; it has not run.
     TurnedAway,
     /// It provably never reached the next hop.
--- a/src/core/reducer.rs
+++ b/src/core/reducer.rs
@@ -22,7 +22,8 @@
 pub struct Core {
     balancer: Balancer,
     max_attempts: usize,
-    classes: usize,
+    /// The deadline of each class.
+    longest: Vec<Micros>,
     routes: RouteSet,
     discovery: Option<String>,
     transactions: BTreeMap<RequestId, Open>,
@@ -87,7 +88,7 @@
     pub fn new(settings: Settings, seed: u64, retention: Retention) -> Result<Core, SettingsError> {
         Ok(Core {
             max_attempts: settings.max_attempts,
-            classes: settings.classes.len(),
+            longest: settings.classes.iter().map(|c| c.deadline).collect(),
             balancer: Balancer::new(settings, seed)?,
             routes: RouteSet::default(),
             discovery: None,
@@ -160,7 +161,7 @@
 
     /// How things stand.
     pub fn overview(&self) -> Overview {
-        let mut classes = vec![(0, 0); self.classes];
+        let mut classes = vec![(0, 0); self.longest.len()];
         for open in self.transactions.values().filter(|o| !o.answered) {
             classes[open.class.0].0 += 1;
             classes[open.class.0].1 += usize::from(open.out > 0);
@@ -310,14 +311,16 @@
         }
         // Prevents: one client's transaction is mixed up with another's that goes under the same id.
         if !self.ids.insert(t.job.id.clone()) {
-            let answer = Answer::Rejected("the id is in use");
+            let answer = Answer::Rejected(Rejection::IdInUse);
             return out.push(Effect::Answer { ticket, answer });
         }
         let request = RequestId(self.next_id());
         if let Some(identity) = &t.identity {
             self.kept.begin(identity.clone(), request);
         }
-        let deadline = now.saturating_add(t.left);
+        // Prevents: one client that would wait for a day makes all others look as if they had waited that long.
+        let left = t.left.min(self.longest.get(t.class.0).copied().unwrap_or(t.left));
+        let deadline = now.saturating_add(left);
         self.timers.insert((deadline.saturating_sub(ANSWER_MARGIN), Timer::Transaction(request)));
         self.tickets.insert(ticket, request);
         self.transactions.insert(
@@ -336,7 +339,7 @@
         self.tell(api::Event::Request(Incoming {
             request,
             class: t.class,
-            left: t.left.saturating_sub(BRANCH_MARGIN),
+            left: left.saturating_sub(BRANCH_MARGIN),
             slots: t.slots,
             memory: t.memory,
             work: None,
@@ -405,6 +408,11 @@
                 self.answer(now, request, Answer::Served(result), out);
                 Status::Ok
             }
+            Ending::Unusable => {
+                // Prevents: what no next hop can use goes round all of them.
+                self.answer(now, request, Answer::Rejected(Rejection::Unusable), out);
+                Status::Error
+            }
             Ending::Error => Status::Error,
             Ending::TurnedAway => Status::Full,
             Ending::NotConnected => Status::ConnectFailed,
--- a/src/front/admission.rs
+++ b/src/front/admission.rs
@@ -54,12 +54,14 @@
 struct State {
     at: At,
     since: Instant,
+    /// It has held a request.
+    used: bool,
     message: Message,
 }
 
 impl Seat {
     fn new(now: Instant) -> Seat {
-        let state = State { at: At::First, since: now, message: Message::default() };
+        let state = State { at: At::First, since: now, used: false, message: Message::default() };
         Seat { state: Mutex::new(state), leave: Notify::new() }
     }
 
@@ -89,6 +91,7 @@
     /// The request has come whole.
     pub fn holds(&self) {
         self.go(At::Holding);
+        self.state().used = true;
     }
 
     /// Its answer goes out.
@@ -116,6 +119,8 @@
         let state = self.state();
         let (rank, least) = match state.at {
             At::Closing => (0, UNUSED),
+            // Prevents: connections that asked whether this is ready, and stay, take up the room.
+            At::Idle if !state.used => (0, Duration::ZERO),
             At::First | At::Reading => (1, UNUSED),
             At::Idle => (2, UNUSED_BETWEEN),
             At::Holding | At::Answering => return None,
@@ -294,7 +299,8 @@
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         let mut state = self.seat.state();
         if state.at == At::Answering {
-            *state = State { at: At::Idle, since: Instant::now(), message: Message::default() };
+            (state.at, state.since) = (At::Idle, Instant::now());
+            state.message = Message::default();
         }
         Poll::Ready(Ok(()))
     }
@@ -361,6 +367,7 @@
         let holding = admission.admit(at(0)).unwrap();
         holding.seat.holds();
         let between = admission.admit(at(0)).unwrap();
+        between.seat.holds();
         between.seat.go(At::Idle);
         // None has been unused for long.
         let turned_away = admission.admit(at(20)).unwrap();
@@ -369,12 +376,16 @@
         drop(turned_away);
         let third = admission.admit(at(60)).unwrap();
         assert!(third.served && admission.held.lock().unwrap().1.len() == 3);
-        third.seat.holds();
-        drop(silent);
-        // The one between two requests goes next, then none can.
-        let fourth = admission.admit(Instant::now() + Duration::from_secs(5)).unwrap();
-        fourth.seat.holds();
+        // One that has asked for nothing but whether this is ready goes at once.
+        third.seat.go(At::Idle);
+        let fourth = admission.admit(at(60)).unwrap();
         assert!(fourth.served);
+        fourth.seat.holds();
+        drop((silent, third));
+        // The one between two requests goes next, then none can.
+        let last = admission.admit(Instant::now() + Duration::from_secs(5)).unwrap();
+        last.seat.holds();
+        assert!(last.served);
         assert!(!admission.admit(Instant::now() + Duration::from_secs(9)).unwrap().served);
     }
 }
--- a/src/front/gearman/clients.rs
+++ b/src/front/gearman/clients.rs
@@ -173,7 +173,8 @@
         Answer::Busy { retry_after } => {
             format!("busy; retry-after-ms={}", retry_after.unwrap_or_default() / 1_000)
         }
-        Answer::Failed(why) | Answer::Rejected(why) => format!("failed; {why}"),
+        Answer::Failed(why) => format!("failed; {why}"),
+        Answer::Rejected(why) => format!("failed; {}", why.why()),
     };
     let (data, again) = (Bytes::from(why), handle.clone());
     outbox.say(match exceptions {
--- a/src/front/http.rs
+++ b/src/front/http.rs
@@ -4,7 +4,7 @@
 use super::admission::{Admission, Place, Seat, Tap};
 use crate::api::{ClassId, Micros};
 use crate::config::Sockets;
-use crate::core::{Answer, Job, Transaction};
+use crate::core::{Answer, Job, Rejection, Transaction};
 use crate::log;
 use crate::settings::Conf;
 use axum::Router;
@@ -256,7 +256,13 @@
             let seconds = format!("{:.3}", after as f64 / 1e6);
             (StatusCode::SERVICE_UNAVAILABLE, [(header::RETRY_AFTER, seconds)]).into_response()
         }
-        Answer::Rejected(why) => Bad(StatusCode::CONFLICT, why).into_response(),
+        Answer::Rejected(why) => {
+            let status = match why {
+                Rejection::IdInUse => StatusCode::CONFLICT,
+                Rejection::Unusable => StatusCode::UNPROCESSABLE_ENTITY,
+            };
+            Bad(status, why.why()).into_response()
+        }
         Answer::Failed(why) => (StatusCode::BAD_GATEWAY, why).into_response(),
     }
 }
--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -279,6 +279,7 @@
     let unseen = answer.headers().get("x-turned-away").is_some_and(|v| v == "1");
     match answer.status() {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unseen => Ending::TurnedAway,
+        status if status.is_client_error() => Ending::Unusable,
         _ => Ending::Error,
     }
 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -107,6 +107,32 @@
     assert_eq!(started(&stage.submit_as(3, "1", 2_000 * MS)).len(), 1);
 }
 
+// Guards against one client that would wait for a day: all later ones then looked as if they had waited that long,
+// and were given up at once.
+#[test]
+fn a_client_that_would_wait_for_ever_ages_no_other() {
+    let mut stage = Stage::new(api::Effect::Safe, &["a"]);
+    let branch = started(&stage.submit(1, 86_400_000 * MS))[0];
+    stage.tell(Event::Ended { branch, ending: Ending::Served("x".into()), report: None });
+    let first = started(&stage.submit(2, 5_000 * MS))[0];
+    // The next hop is taken: the next one waits for it, as its aim allows.
+    let mut waiting = stage.submit(3, 5_000 * MS);
+    waiting.extend(stage.pass(20 * MS));
+    assert!(answers(&waiting).is_empty(), "{waiting:?}");
+    let then = stage.tell(Event::Ended { branch: first, ending: Ending::Served("x".into()), report: None });
+    assert_eq!(started(&then).len(), 1, "{then:?}");
+}
+
+// Guards against what no next hop can use going round all of them.
+#[test]
+fn what_a_next_hop_calls_wrong_is_not_tried_elsewhere() {
+    let mut stage = Stage::new(api::Effect::Safe, &["a", "b"]);
+    let branch = started(&stage.submit(1, 2_000 * MS))[0];
+    let mut all = stage.tell(Event::Ended { branch, ending: Ending::Unusable, report: None });
+    all.extend(stage.pass(2_000 * MS));
+    assert!(matches!(answers(&all)[..], [Answer::Rejected(_)]) && started(&all).is_empty(), "{all:?}");
+}
+
 // Guards against a send to a next hop after it was told to drain.
 #[test]
 fn a_draining_next_hop_gets_nothing_new() {
