A stopping dispatcher serves on the connections that stay open for 2 s

Clients use the connections they have for as long as they stay open, so they stay open for 2 s; what comes after the crossing time is answered within 3.4 s of the signal, as SIGKILL may come 3.7 s after it.

--- a/src/core/reducer.rs
+++ b/src/core/reducer.rs
@@ -11,8 +11,13 @@
 /// A branch is not waited for up to the client's deadline, nor an answer: they must arrive before it.
 const BRANCH_MARGIN: Micros = 25_000;
 const ANSWER_MARGIN: Micros = 10_000;
-/// After a call to stop, clients still come for this long.
+/// After a call to stop, clients still come for this long that have not heard of it.
 const CROSSING: Micros = 600_000;
+/// And use the connections that they have for as long as these stay open. While another dispatcher restarts there
+/// may be no other, so they stay open for this long; what comes after the crossing time has its answer within the
+/// second time, for the end may be forced soon after.
+const STOP_SERVES: Micros = 2_000_000;
+const STOP_ANSWERS: Micros = 3_400_000;
 /// Prevents: next hops that answer probes at once make the decisions wake up without pause.
 const WAKE_LEAST: Micros = 1_000;
 /// Advice to come back where the module was not asked.
@@ -53,7 +58,7 @@
 #[derive(Clone, Copy, PartialEq)]
 enum Drain {
     Serving,
-    Crossing,
+    Crossing { since: Micros },
     Closing { fronts_closed: bool },
     Over,
 }
@@ -136,8 +141,8 @@
             }
             Event::Due => self.due(now, &mut out),
             Event::Terminate if self.drain == Drain::Serving => {
-                self.drain = Drain::Crossing;
-                self.timers.insert((now + CROSSING, Timer::Crossed));
+                self.drain = Drain::Crossing { since: now };
+                self.timers.insert((now + STOP_SERVES, Timer::Crossed));
             }
             Event::Terminate => {}
             Event::FrontsClosed => {
@@ -320,7 +325,10 @@
         }
         // Prevents: one client that would wait for a day makes all others look as if they had waited that long.
         let left = t.left.min(self.longest.get(t.class.0).copied().unwrap_or(t.left));
-        let deadline = now.saturating_add(left);
+        let deadline = match self.drain {
+            Drain::Crossing { since } if now > since + CROSSING => (now + left).min(since + STOP_ANSWERS),
+            _ => now.saturating_add(left),
+        };
         self.timers.insert((deadline.saturating_sub(ANSWER_MARGIN), Timer::Transaction(request)));
         self.tickets.insert(ticket, request);
         self.transactions.insert(
