Gearman front: silent peers and half packets closed, room made as on the HTTP front

The Gearman front (src/front/gearman/mod.rs, serve and session) kept a connection that said nothing, or half a packet, for as long as it stayed open, and turned others away when full. It now shares the HTTP front's admission and its 2 s of patience; a session that has said a whole packet is never closed for being idle, so that workers wait as long as they like. Test: tests/fronts.rs; it fails without the change (nothing ends the silent peers).

--- a/src/front/admission.rs
+++ b/src/front/admission.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 /// A whole request has come within this time of the connection, or of its own first byte on a later one.
-const REQUEST: Duration = Duration::from_secs(2);
+pub const REQUEST: Duration = Duration::from_secs(2);
 /// A client takes its answer within this time.
 const ANSWER: Duration = Duration::from_secs(10);
 /// A connection between two requests stays open for this long.
--- a/src/front/gearman/mod.rs
+++ b/src/front/gearman/mod.rs
@@ -11,6 +11,7 @@
 use crate::config::{Function, GearmanConfig};
 use crate::core::{Ending, News};
 use crate::front::Gate;
+use crate::front::admission::{self, Admission, Seat};
 use crate::front::http::{Closing, closed};
 use crate::log;
 use crate::settings::Conf;
@@ -20,16 +21,19 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::codec::{Decoder, FramedRead};
 use workers::Workers;
 
 /// Packets that may wait for a peer to read them; one that reads too slowly is cut off.
 const OUTBOX: usize = 1_024;
+/// How often a connection is looked at for half a packet that is stuck.
+const LOOKS: Duration = Duration::from_millis(500);
 /// A peer takes what is written to it within this time.
 const WRITE_PATIENCE: Duration = Duration::from_secs(10);
 
@@ -102,7 +106,7 @@
 
     /// Serves connections until told to close, and then until the clients among them have their answers.
     pub async fn serve(self, listener: TcpListener, mut closing: Closing, now: impl Fn() -> Micros) {
-        let open = Arc::new(AtomicUsize::new(0));
+        let admission = Admission::new(self.limits.0, 0);
         let (gone, mut all_gone) = mpsc::channel::<()>(1);
         let mut session = 0;
         loop {
@@ -117,17 +121,16 @@
                 },
                 () = closed(&mut closing) => break,
             };
-            if open.load(Ordering::Relaxed) >= self.limits.0 {
+            let Some(place) = admission.admit(Instant::now()) else {
                 log!("gearman: too many connections, one from {peer} is closed");
                 continue;
-            }
-            open.fetch_add(1, Ordering::Relaxed);
+            };
             session += 1;
-            let (front, open, gone, closing) = (self.clone(), open.clone(), gone.clone(), closing.clone());
+            let (front, gone, closing) = (self.clone(), gone.clone(), closing.clone());
             let opened = now();
             tokio::spawn(async move {
-                front.session(session, opened, stream, &peer.to_string(), closing, gone).await;
-                open.fetch_sub(1, Ordering::Relaxed);
+                front.session((session, opened), stream, &peer.to_string(), closing, gone, &place.seat).await;
+                drop(place);
             });
         }
         drop((listener, gone));
@@ -136,12 +139,12 @@
 
     async fn session(
         &self,
-        session: u64,
-        opened: Micros,
+        (session, opened): (u64, Micros),
         stream: TcpStream,
         peer: &str,
         mut closing: Closing,
         gone: mpsc::Sender<()>,
+        seat: &Seat,
     ) {
         let _ = stream.set_nodelay(true);
         // Prevents: a worker whose machine vanished without a word stays in the route set.
@@ -171,6 +174,9 @@
         let mut clients = Clients::new(self, outbox.clone());
         let mut gone = Some(gone);
         let mut shutting = false;
+        // When patience ends with a peer that has said nothing, or half a packet.
+        let mut patience = Some(seat.due());
+        let mut looks = tokio::time::interval(LOOKS);
         loop {
             if shutting && clients.idle() {
                 // A worker is kept, for jobs that were taken may need it; nobody waits for it to leave.
@@ -182,6 +188,18 @@
             let next = tokio::select! {
                 said = next(&mut said) => said,
                 () = clients.next_answered() => continue,
+                // Prevents: connections of those who ask for nothing take up the room.
+                () = seat.wanted() => break,
+                _ = looks.tick() => {
+                    if patience.is_some_and(|due| due <= Instant::now()) {
+                        log!("gearman: {peer} has not said a whole packet in time");
+                        break;
+                    }
+                    if !said.read_buffer().is_empty() {
+                        patience = patience.or(Some(Instant::now() + admission::REQUEST));
+                    }
+                    continue;
+                }
                 () = overrun.notified() => {
                     log!("gearman: {peer} does not read what it is sent");
                     break;
@@ -192,6 +210,8 @@
                     continue;
                 }
             };
+            seat.holds();
+            patience = None;
             match next {
                 None => break,
                 Some(Ok(Said::Line(line))) => outbox.put(Wire::Text(self.admin(&line).await)),
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -449,6 +449,27 @@
     );
 }
 
+// Guards against connections that say nothing, or half a packet, and take up the Gearman front's room; a worker that
+// waits for a job stays.
+#[test]
+fn silent_gearman_peers_are_closed_and_waiting_workers_are_not() {
+    Stage::play(
+        &[],
+        r"g1 send [CAN_DO rate-push]
+          g1 send [PRE_SLEEP]
+          g2 send raw \0REQ\0
+          g3 send [ECHO_REQ x]
+          g3 expect [ECHO_RES x]
+          g3 send raw \0REQ\0
+          g4 send raw stat
+          g2 expect end
+          g4 expect end
+          g3 expect end
+          c send POST /rate-push/k t1 5000 x
+          g1 expect [NOOP]",
+    );
+}
+
 #[test]
 fn malformed_packets_get_an_error_and_a_close() {
     for bad in [
