Probes asked again, and imports on fresh connections, once a kept one was found dead

A reset on a kept connection says nothing of its next hop's health.

A probe that meets one is asked again on a fresh connection (src/hop/mod.rs). The core hears of a branch that met one (Ending::KeptReset) and starts imports on connections of their own for 30 s.

Tests: tests/core.rs, tests/fronts.rs, src/hop/mod.rs.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -115,6 +115,8 @@
     NotConnected,
     /// The connection ended before the result; it may have run.
     Reset,
+    /// The same before any answer, on a connection kept from an earlier one: the next hop may be well.
+    KeptReset,
     /// Not waited for any longer; it may have run or may yet.
     TimedOut,
 }
@@ -213,6 +215,8 @@
         job: Arc<Job>,
         /// How long it will be waited for.
         left: Micros,
+        /// On a connection of its own.
+        fresh: bool,
     },
     /// Stop waiting for a branch, and close its connection; nothing comes back.
     Cut {
--- a/src/core/reducer.rs
+++ b/src/core/reducer.rs
@@ -20,6 +20,8 @@
 const STOP_ANSWERS: Micros = 3_400_000;
 /// Prevents: next hops that answer probes at once make the decisions wake up without pause.
 const WAKE_LEAST: Micros = 1_000;
+/// How long kept connections are distrusted after one was found dead.
+const DISTRUST: Micros = 30_000_000;
 /// Advice to come back where the module was not asked.
 const COME_BACK: Micros = 1_000_000;
 
@@ -27,8 +29,11 @@
 pub struct Core {
     balancer: Balancer,
     max_attempts: usize,
-    /// The deadline of each class.
+    /// The deadline of each class; and whether its jobs may run once only.
     longest: Vec<Micros>,
+    once: Vec<bool>,
+    /// Kept connections are not trusted with jobs that may run once only, until then.
+    distrust_until: Micros,
     routes: RouteSet,
     discovery: Option<String>,
     transactions: BTreeMap<RequestId, Open>,
@@ -93,6 +98,8 @@
     pub fn new(settings: Settings, seed: u64, retention: Retention) -> Result<Core, SettingsError> {
         Ok(Core {
             max_attempts: settings.max_attempts,
+            distrust_until: 0,
+            once: settings.classes.iter().map(|c| c.effect == api::Effect::Unsafe).collect(),
             longest: settings.classes.iter().map(|c| c.deadline).collect(),
             balancer: Balancer::new(settings, seed)?,
             routes: RouteSet::default(),
@@ -259,7 +266,9 @@
             Some(reach) if !moot => {
                 self.timers.insert((until, Timer::Branch(branch)));
                 let left = open.deadline.saturating_sub(now).min(until - now);
-                out.push(Effect::Start { branch, hop, reach, class, job, left });
+                // Prevents: a job that may run once only is lost with a connection that was dropped unseen.
+                let fresh = now < self.distrust_until && self.once[class.0];
+                out.push(Effect::Start { branch, hop, reach, class, job, left, fresh });
             }
             _ => self.close_branch(now, branch, Status::Moot, None),
         }
@@ -425,6 +434,10 @@
             Ending::TurnedAway => Status::Full,
             Ending::NotConnected => Status::ConnectFailed,
             Ending::Reset => Status::Reset,
+            Ending::KeptReset => {
+                self.distrust_until = now + DISTRUST;
+                Status::Reset
+            }
             Ending::TimedOut => Status::Timeout,
         };
         self.close_branch(now, branch, status, report);
--- a/src/hop/line.rs
+++ b/src/hop/line.rs
@@ -23,10 +23,22 @@
 #[derive(Default)]
 struct Cut {
     done: AtomicBool,
+    /// An answer has come on it.
+    used: AtomicBool,
     reader: AtomicWaker,
 }
 
 impl Cutter {
+    /// An answer has come on the connection.
+    pub fn set_used(&self) {
+        self.0.used.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether one had come.
+    pub fn used(&self) -> bool {
+        self.0.used.load(Ordering::Relaxed)
+    }
+
     /// Ends the connection at once.
     pub fn cut(&self) {
         self.0.done.store(true, Ordering::Release);
--- a/src/hop/mod.rs
+++ b/src/hop/mod.rs
@@ -58,6 +58,8 @@
 #[derive(Clone)]
 pub struct Hop {
     client: Client<Connector, Full<Bytes>>,
+    /// Opens a connection for each request.
+    fresh: Client<Connector, Full<Bytes>>,
     address: String,
 }
 
@@ -104,12 +106,39 @@
 impl Branch {
     /// Closes the connection that the branch is on.
     pub fn cut(&self) {
-        if let Some(connected) = &*self.captured.connection_metadata() {
-            let mut extensions = hyper::http::Extensions::new();
-            connected.get_extras(&mut extensions);
-            if let Some(cutter) = extensions.get::<Cutter>() {
-                cutter.cut();
-            }
+        if let Some(cutter) = self.cutter() {
+            cutter.cut();
+        }
+    }
+
+    fn cutter(&self) -> Option<Cutter> {
+        let mut extensions = hyper::http::Extensions::new();
+        self.captured.connection_metadata().as_ref()?.get_extras(&mut extensions);
+        extensions.remove::<Cutter>()
+    }
+
+    /// Its connection had been kept from an earlier answer.
+    fn kept(&self) -> bool {
+        self.cutter().is_some_and(|c| c.used())
+    }
+
+    fn answered(&self) {
+        if let Some(cutter) = self.cutter() {
+            cutter.set_used();
+        }
+    }
+}
+
+/// A probe that is out; given up, its connection is closed.
+struct Ask {
+    branch: Branch,
+    over: bool,
+}
+
+impl Drop for Ask {
+    fn drop(&mut self) {
+        if !self.over {
+            self.branch.cut();
         }
     }
 }
@@ -117,14 +146,16 @@
 impl Hop {
     /// A client for the next hop at this address.
     pub fn new(address: &str, keeping: Keeping) -> Hop {
-        let client = Client::builder(TokioExecutor::new())
-            // Prevents: a request that is sent again unseen is an attempt that nobody counted.
-            .retry_canceled_requests(false)
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(keeping.idle)
-            .pool_max_idle_per_host(keeping.most_idle)
-            .build(Connector { patience: keeping.connect });
-        Hop { client, address: address.to_owned() }
+        let client = |most_idle| {
+            Client::builder(TokioExecutor::new())
+                // Prevents: a request that is sent again unseen is an attempt that nobody counted.
+                .retry_canceled_requests(false)
+                .pool_timer(TokioTimer::new())
+                .pool_idle_timeout(keeping.idle)
+                .pool_max_idle_per_host(most_idle)
+                .build(Connector { patience: keeping.connect })
+        };
+        Hop { client: client(keeping.most_idle), fresh: client(0), address: address.to_owned() }
     }
 
     /// Its address.
@@ -137,6 +168,7 @@
         &self,
         job: &Job,
         left: Duration,
+        fresh: bool,
         mut teller: T,
     ) -> Result<(Branch, impl Future<Output = ()> + Send + use<T>), hyper::http::Error> {
         let mut request = Request::post(format!("http://{}{}", self.address, job.path))
@@ -144,10 +176,15 @@
             .header("X-Remaining-Ms", left.as_millis() as u64)
             .body(Full::new(job.body.clone()))?;
         let branch = Branch { captured: capture_connection(&mut request) };
-        let (client, id, of) = (self.client.clone(), job.id.clone(), branch.clone());
+        let client = if fresh { self.fresh.clone() } else { self.client.clone() };
+        let (id, of) = (job.id.clone(), branch.clone());
         let address = self.address.clone();
         let drive = async move {
-            match client.request(request).await {
+            let answer = client.request(request).await;
+            if answer.is_ok() {
+                of.answered();
+            }
+            match answer {
                 Ok(answer) if answer.status() == StatusCode::OK => {
                     let mut body = answer.into_body();
                     if !follow(&mut body, &id, &address, &mut teller).await {
@@ -177,32 +214,39 @@
 
     /// Asks for the load report.
     pub async fn probe(&self) -> (Status, Option<Report>) {
-        let request = Request::get(format!("http://{}/-/load", self.address)).body(Full::default());
-        let Ok(mut request) = request else { return (Status::ConnectFailed, None) };
-        let branch = Branch { captured: capture_connection(&mut request) };
         let asked = async {
-            let answer = match self.client.request(request).await {
-                Ok(answer) => answer,
-                Err(e) if e.is_connect() => return (Status::ConnectFailed, None),
-                Err(_) => return (Status::Reset, None),
-            };
-            let (status, turned_away) = (answer.status(), answer.headers().contains_key("x-turned-away"));
-            let header = header_report(&answer);
-            let body = http_body_util::Limited::new(answer.into_body(), REPORT_MOST).collect().await;
-            let report = body.ok().and_then(|b| read_report(&b.to_bytes())).or(header);
-            match status {
-                StatusCode::OK => (Status::Ok, report),
-                StatusCode::SERVICE_UNAVAILABLE if turned_away => (Status::Full, report),
-                _ => (Status::Error, report),
+            match self.ask(&self.client).await {
+                // Prevents: a next hop that dropped a connection nobody used counts as one that died.
+                (Status::Reset, true, _) => self.ask(&self.fresh).await,
+                told => told,
             }
         };
-        match timeout(PROBE, asked).await {
-            Ok(result) => result,
-            Err(_) => {
-                branch.cut();
-                (Status::Timeout, None)
-            }
-        }
+        let (status, _, report) = timeout(PROBE, asked).await.unwrap_or((Status::Timeout, false, None));
+        (status, report)
+    }
+
+    /// One try to get a load report; with whether its connection had been kept.
+    async fn ask(&self, client: &Client<Connector, Full<Bytes>>) -> (Status, bool, Option<Report>) {
+        let request = Request::get(format!("http://{}/-/load", self.address)).body(Full::default());
+        let Ok(mut request) = request else { return (Status::ConnectFailed, false, None) };
+        let mut ask = Ask { branch: Branch { captured: capture_connection(&mut request) }, over: false };
+        let answer = match client.request(request).await {
+            Ok(answer) => answer,
+            Err(e) if e.is_connect() => return (Status::ConnectFailed, false, None),
+            Err(_) => return (Status::Reset, ask.branch.kept(), None),
+        };
+        ask.branch.answered();
+        let (status, turned_away) = (answer.status(), answer.headers().contains_key("x-turned-away"));
+        let header = header_report(&answer);
+        let body = http_body_util::Limited::new(answer.into_body(), REPORT_MOST).collect().await;
+        ask.over = true;
+        let report = body.ok().and_then(|b| read_report(&b.to_bytes())).or(header);
+        let status = match status {
+            StatusCode::OK => Status::Ok,
+            StatusCode::SERVICE_UNAVAILABLE if turned_away => Status::Full,
+            _ => Status::Error,
+        };
+        (status, false, report)
     }
 }
 
@@ -292,7 +336,11 @@
         unwritten |= e.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_canceled);
         source = e.source();
     }
-    if unwritten { Ending::NotConnected } else { Ending::Reset }
+    match unwritten {
+        true => Ending::NotConnected,
+        false if branch.kept() => Ending::KeptReset,
+        false => Ending::Reset,
+    }
 }
 
 fn chain(e: &dyn std::error::Error) -> String {
@@ -359,4 +407,34 @@
         assert_eq!(free("x0=many"), None);
         assert_eq!(free("{"), None);
     }
+
+    // Guards against a next hop that is taken out because it dropped a connection that nobody used.
+    #[test]
+    fn a_probe_on_a_kept_connection_that_was_dropped_asks_again_on_a_fresh_one() {
+        use std::io::{Read, Write};
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let server = std::thread::spawn(move || {
+            let read = |stream: &mut std::net::TcpStream| assert!(stream.read(&mut [0; 4096]).unwrap() > 0);
+            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"x0\":2}";
+            let mut kept = listener.accept().unwrap().0;
+            read(&mut kept);
+            kept.write_all(answer).unwrap();
+            read(&mut kept);
+            drop(kept);
+            let mut fresh = listener.accept().unwrap().0;
+            read(&mut fresh);
+            fresh.write_all(answer).unwrap();
+        });
+        let (connect, idle) = (Duration::from_secs(2), Duration::from_secs(2));
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let hop = Hop::new(&address, Keeping { connect, idle, most_idle: 2 });
+            for _ in 0..2 {
+                let (status, report) = hop.probe().await;
+                assert_eq!((status, report.and_then(|r| r.free_slots)), (Status::Ok, Some(2.0)));
+            }
+        });
+        server.join().unwrap();
+    }
 }
--- a/src/shell.rs
+++ b/src/shell.rs
@@ -1,6 +1,6 @@
 //! The shell: carries out what the core asks for, and tells it what has become of it.
 
-use crate::api::{ClassId, Micros, Report, Status, WorkerId};
+use crate::api::{Micros, Report, Status, WorkerId};
 use crate::config::{Config, GearmanConfig, Reload};
 use crate::core::Ticket;
 use crate::core::{
@@ -263,8 +263,15 @@
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Start { branch, hop, reach, class, job, left } => {
-                self.start(branch, hop, reach, class, job, Duration::from_micros(left));
+            Effect::Start { branch, hop, reach, class, job, left, fresh } => {
+                let address = match (reach, &self.workers) {
+                    (Reach::Address(address), _) => address,
+                    (Reach::Session(session), Some(workers)) => {
+                        return workers.start(session, branch, class, job);
+                    }
+                    (Reach::Session(_), None) => return self.never_connected(branch),
+                };
+                self.start(branch, hop, &address, &job, Duration::from_micros(left), fresh);
             }
             Effect::Cut { branch } => {
                 if let Some((line, task)) = self.branches.remove(&branch) {
@@ -325,30 +332,28 @@
         &mut self,
         branch: BranchId,
         hop: WorkerId,
-        reach: Reach,
-        class: ClassId,
-        job: Arc<Job>,
+        address: &str,
+        job: &Job,
         left: Duration,
+        fresh: bool,
     ) {
         let teller = BranchTeller { gate: self.gate.clone(), branch };
-        let never = || self.gate.tell(Event::Ended { branch, ending: Ending::NotConnected, report: None });
-        let address = match (reach, &self.workers) {
-            (Reach::Address(address), _) => address,
-            (Reach::Session(session), Some(workers)) => return workers.start(session, branch, class, job),
-            (Reach::Session(_), None) => return never(),
-        };
-        match self.hop(hop, &address).branch(&job, left, teller) {
+        match self.hop(hop, address).branch(job, left, fresh, teller) {
             Ok((line, drive)) => {
                 let task = tokio::spawn(drive).abort_handle();
                 self.branches.insert(branch, (line, task));
             }
             Err(e) => {
                 log!("hop {address}: {e}");
-                self.gate.tell(Event::Ended { branch, ending: Ending::NotConnected, report: None });
+                self.never_connected(branch);
             }
         }
     }
 
+    fn never_connected(&self, branch: BranchId) {
+        self.gate.tell(Event::Ended { branch, ending: Ending::NotConnected, report: None });
+    }
+
     /// The client of a next hop; a new one where its address has changed.
     fn hop(&mut self, hop: WorkerId, address: &str) -> Hop {
         let keeping = self.keeping;
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -133,6 +133,33 @@
     assert!(matches!(answers(&all)[..], [Answer::Rejected(_)]) && started(&all).is_empty(), "{all:?}");
 }
 
+// Guards against imports lost with kept connections that next hops drop unseen, once one of those has been met.
+#[test]
+fn after_a_kept_connection_was_found_dead_imports_get_fresh_ones_for_a_while() {
+    let fresh = |effects: &[Effect]| {
+        effects.iter().find_map(|e| if let Effect::Start { fresh, .. } = e { Some(*fresh) } else { None })
+    };
+    for (effect, expected) in [(api::Effect::Unsafe, true), (api::Effect::Safe, false)] {
+        let mut stage = Stage::new(effect, &["a", "b"]);
+        let first = stage.submit(1, 2_000 * MS);
+        assert_eq!(fresh(&first), Some(false));
+        let branch = started(&first)[0];
+        // The import fails and another one comes; what may run twice goes to the other next hop by itself.
+        let mut second = stage.tell(Event::Ended { branch, ending: Ending::KeptReset, report: None });
+        second.extend(stage.submit(2, 2_000 * MS));
+        assert_eq!(fresh(&second), Some(expected));
+        let branch = started(&second)[0];
+        stage.tell(Event::Ended { branch, ending: Ending::Served("x".into()), report: None });
+        // Over after a while; a further next hop, as the first is on trial.
+        stage.pass(31_000 * MS);
+        let lines = vec![hop("c", WorkerState::Ready)];
+        stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(lines) });
+        let mut third = stage.submit(3, 2_000 * MS);
+        third.extend(stage.pass(1_000 * MS));
+        assert_eq!(fresh(&third), Some(false));
+    }
+}
+
 // Guards against a send to a next hop after it was told to drain.
 #[test]
 fn a_draining_next_hop_gets_nothing_new() {
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -144,6 +144,31 @@
     );
 }
 
+// Guards against imports lost, one after the other, with connections that next hops drop when they are used again.
+#[test]
+fn an_import_gets_a_fresh_connection_once_a_kept_one_was_found_dead() {
+    Stage::play(
+        &["w1", "w2"],
+        "c send POST /rate-push/k t1 5000 x
+         w1 wait a
+         a expect POST /rate-push/k t1
+         a send done 1
+         c expect 200 1
+         c send POST /rate-push/k t2 5000 x
+         a expect POST /rate-push/k t2
+         a close
+         w2 wait b
+         b expect POST /rate-push/k t2
+         b send done 2
+         c expect 200 2
+         c send POST /booking-import/k i1 5000 x
+         w2 wait b2
+         b2 expect POST /booking-import/k i1
+         b2 send done 3
+         c expect 200 3",
+    );
+}
+
 // Guards against giving up what never ran: a refused connection and a turned-away job prove that.
 #[test]
 fn an_import_that_was_turned_away_goes_elsewhere() {
