One package becomes a workspace: decisions, core, net, adapter, program, and a rig for tests

Need: the program is about to grow; a store, a console and a control socket must not weigh on what the platform builds.

Change: code moved, none changed. Arrows point one way: program -> net -> core -> decisions, adapter -> decisions. The scenario language and its stand-ins are a package of their own for tests (rig), so that each front and the program share them.

--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,11 @@
 	cargo build --release --locked
 
 test:
-	cargo test --locked
+	cargo test --locked --workspace
 
 lint:
 	cargo fmt --check
-	cargo clippy --locked --all-targets -- -D warnings
+	cargo clippy --locked --workspace --all-targets -- -D warnings
 
 # Needs ROUTER_CONFIG; see the README.
 run: build
--- a/src/bin/pumiceway-adapter/host.rs
+++ b/crates/adapter/src/host.rs
@@ -1,9 +1,9 @@
 //! The instance map: wire ids to handles and back, one balancer for each instance.
 
 use crate::wire::{self, Item, Order, Reply};
-use pumiceway::Balancer;
-use pumiceway::api::*;
-use pumiceway::settings::Conf;
+use pumiceway_decisions::Balancer;
+use pumiceway_decisions::api::*;
+use pumiceway_decisions::settings::Conf;
 use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap};
 
--- a/src/bin/pumiceway-adapter/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's wire: one JSON value a line, typed and borrowed from the line.
 
-use pumiceway::settings::Conf;
+use pumiceway_decisions::settings::Conf;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
--- a/src/core/kept.rs
+++ b/crates/core/src/kept.rs
@@ -1,7 +1,7 @@
 //! What became of transactions whose clients may hand them in again under the same identity.
 
 use super::Answer;
-use crate::api::{Micros, RequestId};
+use pumiceway_decisions::api::{Micros, RequestId};
 use std::collections::{BTreeMap, HashMap};
 
 /// What a client calls a transaction by.
--- a/src/core/mod.rs
+++ b/crates/core/src/lib.rs
@@ -11,8 +11,8 @@
 pub use reducer::Core;
 pub use routes::{NextHop, Reach, RouteNews, Source};
 
-use crate::api::{ClassId, Micros, Report, Status, WorkerId};
 use bytes::Bytes;
+use pumiceway_decisions::api::{ClassId, Micros, Report, Status, WorkerId};
 use std::sync::Arc;
 
 /// A client that waits for the answer to a transaction.
--- a/src/core/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -3,9 +3,11 @@
 use super::kept::{Kept, Known};
 use super::routes::RouteSet;
 use super::*;
-use crate::Balancer;
-use crate::api::{self, Action, Incoming, ListKind, Note, Outcome, Probed, Progress, RequestId};
-use crate::api::{Settings, SettingsError};
+use pumiceway_decisions::Balancer;
+use pumiceway_decisions::api::{
+    self, Action, Incoming, ListKind, Note, Outcome, Probed, Progress, RequestId,
+};
+use pumiceway_decisions::api::{Settings, SettingsError};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 
 /// A branch is not waited for up to the client's deadline, nor an answer: they must arrive before it.
--- a/src/core/routes.rs
+++ b/crates/core/src/routes.rs
@@ -1,6 +1,6 @@
 //! The route set: next hops as their sources list them, under the handles that the decisions use.
 
-use crate::api::{Entry, KindId, ListKind, Micros, WorkerId, WorkerState, ZoneId};
+use pumiceway_decisions::api::{Entry, KindId, ListKind, Micros, WorkerId, WorkerState, ZoneId};
 use std::collections::HashMap;
 
 /// Where to find a next hop.
--- a/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -1,11 +1,12 @@
 //! The core alone, with a clock of the test's own: what comes in, and what it wants done.
 
+#[path = "../../decisions/tests/common/mod.rs"]
 mod common;
 
 use bytes::Bytes;
 use common::{MS, START, settings};
-use pumiceway::api::{self, ClassId, KindId, Micros, ReportVia, Settings, WorkerState, ZoneId};
-use pumiceway::core::*;
+use pumiceway_core::*;
+use pumiceway_decisions::api::{self, ClassId, KindId, Micros, ReportVia, Settings, WorkerState, ZoneId};
 use std::sync::Arc;
 
 struct Stage {
--- a/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -282,8 +282,8 @@
 
     /// Prevents: a worker not heard of for long looks as empty, or as full, as it was then.
     fn others_now(&self, now: Micros, w: &Worker, total: f64) -> f64 {
-        // The turns leave a cold worker nearly empty. And prevents: where nobody reports, a guess that nothing
-        // can correct keeps all work from workers that stand idle.
+        // The turns leave a cold worker nearly empty. And prevents: where nobody reports, a guess that
+        // nothing can correct keeps all work from workers that stand idle.
         let blind = w.report_at == 0 && !self.asks();
         let mean =
             if blind || self.cold_age(now, w).is_some() { 0.0 } else { total * self.mean_use[w.zone.0] };
@@ -607,15 +607,15 @@
         self.serve_held(now, out);
     }
 
-    /// Prevents: a guess that is far off is believed for hundreds of requests. Of the first ones the short have
-    /// ended, so those that are out count with the time they have taken so far: total time over those ended.
+    /// Prevents: a guess that is far off is believed for hundreds of requests. Of the first ones the short
+    /// have ended, so those still out count with the time they have taken: total time over those ended.
     fn learn(&mut self, now: Micros, class: usize, latency: f64) {
         let out = |r: &Request| -> Micros {
             let open = r.attempts.iter().filter(|a| a.fate == Fate::Out);
             open.map(|a| now.saturating_sub(a.sent)).sum()
         };
-        // Not where jobs wait for as long as the aim is believed to be met: there the aim is a fair guess, and
-        // the simulator loses 0.04 on overloaded days with this.
+        // Not where jobs wait for as long as the aim is believed to be met: there the aim is a fair guess,
+        // and the simulator loses 0.04 with this.
         let waits = self.s.classes[class].wait.is_some();
         let belief = &mut self.classes[class];
         belief.served = belief.served.saturating_add(1);
--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,6 +1,4 @@
-//! The decisions and the dispatcher built round them.
-//!
-//! The decision module says, for a dispatcher that pushes jobs to workers, where each job goes, when it waits,
+//! The decisions. They say, for a dispatcher that pushes jobs to workers, where each job goes, when it waits,
 //! when it is refused, and what becomes of it when workers fail.
 //!
 //! It is sans-I/O: the host keeps the clock, the connections and the timers, hands events to
@@ -8,7 +6,7 @@
 //! [`Balancer`]; they share nothing.
 //!
 //! ```
-//! use pumiceway::{Balancer, api::*};
+//! use pumiceway_decisions::{Balancer, api::*};
 //!
 //! # fn main() -> Result<(), SettingsError> {
 //! let settings = Settings {
@@ -102,20 +100,9 @@
 //! # }
 //! ```
 
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
-
 pub mod api;
 mod balance;
-pub mod config;
-pub mod console;
-pub mod core;
-pub mod discovery;
-pub mod front;
-pub mod hop;
-pub mod log;
 pub mod settings;
-pub mod shell;
 mod state;
 
 pub use balance::Balancer;
--- a/tests/cold.rs
+++ b/crates/decisions/tests/cold.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use pumiceway::api::*;
+use pumiceway_decisions::api::*;
 
 /// When jobs reach an instance, and of which class: asked every 20 ms.
 type Traffic = fn(me: usize, at: Micros) -> Option<usize>;
--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A host for tests: it keeps the clock and collects actions, and models no server.
 #![allow(dead_code)] // each test file uses its own part
 
-use pumiceway::Balancer;
-use pumiceway::api::*;
+use pumiceway_decisions::Balancer;
+use pumiceway_decisions::api::*;
 
 pub const MS: Micros = 1_000;
 pub const START: Micros = 1_000_000_000;
--- a/tests/decisions.rs
+++ b/crates/decisions/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use pumiceway::Balancer;
-use pumiceway::api::*;
+use pumiceway_decisions::Balancer;
+use pumiceway_decisions::api::*;
 
 const KEYED_ALL: Effect = Effect::Keyed { group: Group::All, window: 1_000 * MS };
 const KEYED_ZONE: Effect = Effect::Keyed { group: Group::Zone, window: 1_000 * MS };
--- a/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use pumiceway::api::*;
+use pumiceway_decisions::api::*;
 use std::collections::BTreeMap;
 
 struct Held {
--- a/src/config.rs
+++ b/crates/net/src/config.rs
@@ -1,9 +1,9 @@
 //! The one place where configuration is read, checked and given defaults. Every message names its key.
 
-use crate::api::{ClassId, Micros, Settings};
-use crate::core::Retention;
 use crate::discovery::Listing;
-use crate::settings::Conf;
+use pumiceway_core::Retention;
+use pumiceway_decisions::api::{ClassId, Micros, Settings};
+use pumiceway_decisions::settings::Conf;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, BTreeSet};
@@ -405,7 +405,7 @@
             functions.insert(name, Function { class: ClassId(class), slots: f.slots, left });
         }
         if functions.is_empty() {
-            let own = |(n, lane): (usize, &crate::settings::Lane)| {
+            let own = |(n, lane): (usize, &pumiceway_decisions::settings::Lane)| {
                 (lane.name.clone(), Function { class: ClassId(n), slots: 1.0, left: lane.deadline_us })
             };
             functions = conf.lanes.iter().enumerate().map(own).collect();
--- a/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -2,16 +2,16 @@
 
 pub mod zookeeper;
 
-use crate::api::{Micros, WorkerState};
-use crate::core::{NextHop, Reach, RouteNews, Source};
 use crate::log;
-use crate::settings::Conf;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use pumiceway_core::{NextHop, Reach, RouteNews, Source};
+use pumiceway_decisions::api::{Micros, WorkerState};
+use pumiceway_decisions::settings::Conf;
 use serde::Deserialize;
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/discovery/zookeeper.rs
+++ b/crates/net/src/discovery/zookeeper.rs
@@ -6,9 +6,9 @@
 
 use super::{Endpoint, Listing};
 use crate::config::ZooKeeperConfig;
-use crate::core::{RouteNews, Source};
 use crate::log;
-use crate::settings::Conf;
+use pumiceway_core::{RouteNews, Source};
+use pumiceway_decisions::settings::Conf;
 use serde_json::Value;
 use std::sync::Arc;
 use std::time::Duration;
--- a/src/front/gearman/clients.rs
+++ b/crates/net/src/front/gearman/clients.rs
@@ -2,8 +2,8 @@
 
 use super::codec::{Packet, WORKLOAD_MOST};
 use super::{Gearman, Outbox};
-use crate::core::{Answer, Identity, Job, News, Transaction};
 use bytes::Bytes;
+use pumiceway_core::{Answer, Identity, Job, News, Transaction};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
--- a/src/front/gearman/workers.rs
+++ b/crates/net/src/front/gearman/workers.rs
@@ -4,9 +4,9 @@
 
 use super::codec::Packet;
 use super::{Functions, Outbox};
-use crate::api::{ClassId, KindId, Micros, Report, Settings, Status, WorkerState, ZoneId};
-use crate::core::{BranchId, Ending, Event, Job, News, NextHop, Reach, RouteNews, Source};
 use crate::front::Gate;
+use pumiceway_core::{BranchId, Ending, Event, Job, News, NextHop, Reach, RouteNews, Source};
+use pumiceway_decisions::api::{ClassId, KindId, Micros, Report, Settings, Status, WorkerState, ZoneId};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
--- a/src/front/http.rs
+++ b/crates/net/src/front/http.rs
@@ -2,11 +2,8 @@
 
 use super::Gate;
 use super::admission::{Admission, Place, Seat, Tap};
-use crate::api::{ClassId, Micros};
 use crate::config::Sockets;
-use crate::core::{Answer, Job, Rejection, Transaction};
 use crate::log;
-use crate::settings::Conf;
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{DefaultBodyLimit, Extension, FromRequest, Request, State};
@@ -17,6 +14,9 @@
 use hyper::body::{Body as _, Incoming};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use pumiceway_core::{Answer, Job, Rejection, Transaction};
+use pumiceway_decisions::api::{ClassId, Micros};
+use pumiceway_decisions::settings::Conf;
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/src/front/mod.rs
+++ b/crates/net/src/front/mod.rs
@@ -4,7 +4,7 @@
 pub mod gearman;
 pub mod http;
 
-use crate::core::{Answer, Event, News, Overview, Ticket, Transaction};
+use pumiceway_core::{Answer, Event, News, Overview, Ticket, Transaction};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::{mpsc, oneshot};
--- a/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -2,11 +2,8 @@
 
 mod line;
 
-use crate::api::{Report, Status};
 use crate::config::Sockets;
-use crate::core::{Ending, Job, News};
 use crate::log;
-use crate::settings::Conf;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -15,6 +12,9 @@
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use line::{Connector, Cutter};
+use pumiceway_core::{Ending, Job, News};
+use pumiceway_decisions::api::{Report, Status};
+use pumiceway_decisions::settings::Conf;
 use serde::Deserialize;
 use std::time::Duration;
 use tokio::time::timeout;
--- a/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -1,11 +1,6 @@
 //! The shell: carries out what the core asks for, and tells it what has become of it.
 
-use crate::api::{Micros, Report, Status, WorkerId};
 use crate::config::{Config, GearmanConfig, Reload};
-use crate::core::Ticket;
-use crate::core::{
-    Answer, BranchId, Core, Effect, Ending, Event, Job, News, Reach, Retention, RouteNews, Source,
-};
 use crate::discovery::Watcher;
 use crate::discovery::zookeeper::Nodes;
 use crate::front::gearman::Gearman;
@@ -14,7 +9,12 @@
 use crate::front::{Gate, Heard};
 use crate::hop::{self, Hop, Keeping, Teller};
 use crate::log;
-use crate::settings::Conf;
+use pumiceway_core::Ticket;
+use pumiceway_core::{
+    Answer, BranchId, Core, Effect, Ending, Event, Job, News, Reach, Retention, RouteNews, Source,
+};
+use pumiceway_decisions::api::{Micros, Report, Status, WorkerId};
+use pumiceway_decisions::settings::Conf;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
--- a/tests/fronts.rs
+++ b/crates/net/tests/fronts.rs
@@ -1,8 +1,6 @@
 //! Both fronts, played on loopback against stand-ins.
 
-mod stage;
-
-use stage::{Peer, SETTINGS, Stage};
+use pumiceway_rig::{Peer, SETTINGS, Stage};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
--- a/tests/zookeeper.rs
+++ b/crates/net/tests/zookeeper.rs
@@ -1,9 +1,7 @@
 //! The route set in ZooKeeper, against a stand-in that speaks as much of its protocol as is needed.
 
-mod stage;
-
-use pumiceway::config::ZooKeeperConfig;
-use stage::{Peer, Stage};
+use pumiceway_net::config::ZooKeeperConfig;
+use pumiceway_rig::{Peer, Stage};
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
--- a/src/main.rs
+++ b/crates/pumiceway/src/main.rs
@@ -1,9 +1,11 @@
 //! The command line.
 
+mod console;
+
 use argh::FromArgs;
-use pumiceway::config::{Config, ConfigError, GearmanConfig, Reload, ZooKeeperConfig};
-use pumiceway::log;
-use pumiceway::shell::Dispatcher;
+use pumiceway_net::config::{Config, ConfigError, GearmanConfig, Reload, ZooKeeperConfig};
+use pumiceway_net::log;
+use pumiceway_net::shell::Dispatcher;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -74,9 +76,7 @@
         Command::CheckConfig(CheckConfig { gearman, zookeeper }) => {
             config(gearman, zookeeper).map(|c| println!("{}: good", c.name))
         }
-        Command::Console(Console { address, command }) => {
-            pumiceway::console::run(address, command.as_deref())
-        }
+        Command::Console(Console { address, command }) => console::run(address, command.as_deref()),
         Command::Version(Version {}) => {
             println!("pumiceway {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/tests/command.rs
+++ b/crates/pumiceway/tests/command.rs
@@ -1,8 +1,6 @@
 //! The program from its command line: configuration errors, the console, and a stop by signal.
 
-mod stage;
-
-use stage::{SETTINGS, Stage};
+use pumiceway_rig::{SETTINGS, Stage};
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
@@ -65,7 +63,7 @@
         assert!(out.status.code() == Some(2) && said.contains(key), "{key}: {said}");
         std::fs::remove_file(path).unwrap();
     }
-    let deployed = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/gearman.toml");
+    let deployed = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/gearman.toml");
     assert!(pumiceway(&["check-config", "--gearman", deployed], Some(&config)).status.success());
     std::fs::remove_file(config).unwrap();
 }
--- a/tests/stage/mod.rs
+++ b/crates/rig/src/lib.rs
@@ -15,10 +15,9 @@
 //! c close                                   c expect end: the other side has closed
 //! ```
 //! A peer connects with its first line. Each expect and wait gives up after some seconds.
-#![allow(dead_code)] // each test file uses its own part
 
-use pumiceway::config::{Config, GearmanConfig, Reload, ZooKeeperConfig};
-use pumiceway::shell::Dispatcher;
+use pumiceway_net::config::{Config, GearmanConfig, Reload, ZooKeeperConfig};
+use pumiceway_net::shell::Dispatcher;
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
