--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -68,6 +68,18 @@
     Rejected(Rejection),
 }
 
+impl Answer {
+    /// Its sort, in a word.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Busy { .. } => "busy",
+            Answer::Failed(_) => "failed",
+            Answer::Rejected(_) => "rejected",
+        }
+    }
+}
+
 /// Why a transaction is not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rejection {
@@ -121,6 +133,22 @@
     TimedOut,
 }
 
+impl Ending {
+    /// Its sort, in a word.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Ending::Served(_) => "served",
+            Ending::Error => "error",
+            Ending::Unusable => "unusable",
+            Ending::TurnedAway => "turned away",
+            Ending::NotConnected => "not connected",
+            Ending::Reset => "reset",
+            Ending::KeptReset => "reset when kept",
+            Ending::TimedOut => "timed out",
+        }
+    }
+}
+
 /// How things stand, for those who look after the dispatcher.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Overview {
@@ -271,6 +299,11 @@
     CloseFronts,
     /// All that was taken is answered: end the program.
     Exit,
-    /// A line for the log.
-    Log(String),
+    /// Tell those who look after the dispatcher.
+    Warn {
+        /// What is the matter.
+        what: &'static str,
+        /// With what.
+        detail: String,
+    },
 }
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -139,8 +139,8 @@
             Event::Routes { source, news } => self.routes(source, news, &mut out),
             Event::Configured { discovery, index, needs_restart } => {
                 if !needs_restart.is_empty() {
-                    let keys = needs_restart.join(", ");
-                    out.push(Effect::Log(format!("configuration: {keys} changed, which takes a restart")));
+                    let what = "keys of the configuration changed, which takes a restart";
+                    out.push(Effect::Warn { what, detail: needs_restart.join(", ") });
                 }
                 // Prevents: a configuration that changes nothing here drops a watch that stands.
                 if let Some(address) = discovery.filter(|d| self.discovery.as_ref() != Some(d)) {
@@ -240,7 +240,7 @@
                 self.wake_at = Some(at);
                 self.timers.insert((at, Timer::Wake));
             }
-            Action::Log(line) => out.push(Effect::Log(line)),
+            Action::Log(detail) => out.push(Effect::Warn { what: "the decisions say", detail }),
         }
     }
 
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -12,6 +12,15 @@
     Session(u64),
 }
 
+impl std::fmt::Display for Reach {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Reach::Address(address) => f.write_str(address),
+            Reach::Session(session) => write!(f, "session {session}"),
+        }
+    }
+}
+
 /// Who lists next hops. What one source lists says nothing of another's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Source {
--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -2,7 +2,6 @@
 
 pub mod zookeeper;
 
-use crate::log;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::Request;
@@ -18,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
+use tracing::warn;
 
 /// A call is answered within this time or has failed.
 const CALL: Duration = Duration::from_millis(2_500);
@@ -82,7 +82,10 @@
                     // What is gone is gone wherever it was.
                     (zone, kind, true) => (zone.unwrap_or_default(), kind.unwrap_or_default()),
                     _ => {
-                        log!("discovery: {} has a zone or type that the settings lack", e.name);
+                        warn!(
+                            hop = e.name,
+                            "a next hop has a zone or type that the settings lack, and is left out"
+                        );
                         return None;
                     }
                 };
@@ -144,7 +147,9 @@
             list_first = matches!(broken, Broken::Malformed(_));
             match broken {
                 Broken::Unheard => return,
-                Broken::Ended(why) | Broken::Malformed(why) => log!("discovery: {why}"),
+                Broken::Ended(why) | Broken::Malformed(why) => {
+                    warn!(discovery = self.address, why, "the watch broke")
+                }
             }
             if self.tell.send((Source::Discovery, RouteNews::Lost)).is_err() {
                 return;
--- a/crates/net/src/discovery/zookeeper.rs
+++ b/crates/net/src/discovery/zookeeper.rs
@@ -6,7 +6,6 @@
 
 use super::{Endpoint, Listing};
 use crate::config::ZooKeeperConfig;
-use crate::log;
 use pumiceway_core::{RouteNews, Source};
 use pumiceway_decisions::settings::Conf;
 use serde_json::Value;
@@ -14,6 +13,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
+use tracing::warn;
 use zookeeper_client::{AddWatchMode, Client, Error, EventType, PersistentWatcher, SessionState};
 
 /// A call is answered within this time or has failed.
@@ -49,7 +49,7 @@
             match self.session().await {
                 Ok(()) => {}
                 Err(Broken::Unheard) => return,
-                Err(Broken::Failed(why)) => log!("zookeeper: {why}"),
+                Err(Broken::Failed(why)) => warn!(why, "the session with the ensemble broke"),
             }
             if self.say(RouteNews::Lost).is_err() {
                 return;
@@ -100,7 +100,9 @@
             };
             match endpoint(&name, &data, created) {
                 Ok(endpoint) => endpoints.push(endpoint),
-                Err(e) => log!("zookeeper: {path}/{name}: {e}"),
+                Err(e) => {
+                    warn!(node = format_args!("{path}/{name}"), why = %e, "a node that can't be read is left out")
+                }
             }
         }
         Ok(Listing { index: 0, snapshot: true, endpoints })
--- a/crates/net/src/front/gearman/mod.rs
+++ b/crates/net/src/front/gearman/mod.rs
@@ -11,7 +11,6 @@
 use crate::front::Gate;
 use crate::front::admission::{self, Admission, Seat};
 use crate::front::http::{Closing, closed};
-use crate::log;
 use bytes::BytesMut;
 use clients::Clients;
 use codec::{Codec, Malformed, Packet, Said};
@@ -28,6 +27,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio_util::codec::{Decoder, FramedRead};
+use tracing::{error, info, warn};
 use workers::Workers;
 
 /// Packets that may wait for a peer to read them; one that reads too slowly is cut off.
@@ -114,7 +114,7 @@
                 accepted = listener.accept() => match accepted {
                     Ok(accepted) => accepted,
                     Err(e) => {
-                        log!("gearman: accept: {e}");
+                        error!(front = "gearman", why = %e, "a connection can't be accepted");
                         tokio::time::sleep(Duration::from_millis(20)).await;
                         continue;
                     }
@@ -122,7 +122,7 @@
                 () = closed(&mut closing) => break,
             };
             let Some(place) = admission.admit(Instant::now()) else {
-                log!("gearman: too many connections, one from {peer} is closed");
+                warn!(front = "gearman", %peer, most = self.limits.0, "too many connections: this one is closed");
                 continue;
             };
             session += 1;
@@ -192,7 +192,7 @@
                 () = seat.wanted() => break,
                 _ = looks.tick() => {
                     if patience.is_some_and(|due| due <= Instant::now()) {
-                        log!("gearman: {peer} has not said a whole packet in time");
+                        info!(front = "gearman", peer, "has not said a whole packet in time, and is closed");
                         break;
                     }
                     if !said.read_buffer().is_empty() {
@@ -201,7 +201,7 @@
                     continue;
                 }
                 () = overrun.notified() => {
-                    log!("gearman: {peer} does not read what it is sent");
+                    warn!(front = "gearman", peer, "does not read what it is sent, and is closed");
                     break;
                 }
                 () = closed(&mut closing), if !shutting => {
@@ -218,7 +218,7 @@
                 Some(Ok(Said::Packet(packet))) => self.packet(session, opened, &outbox, &mut clients, packet),
                 Some(Err(Malformed::Io(_))) => break,
                 Some(Err(e)) => {
-                    log!("gearman: {peer}: {e}");
+                    info!(front = "gearman", peer, why = %e, "malformed, and closed");
                     outbox.say(Packet::Error { code: "MALFORMED", text: e.to_string() });
                     break;
                 }
--- a/crates/net/src/front/http.rs
+++ b/crates/net/src/front/http.rs
@@ -3,7 +3,6 @@
 use super::Gate;
 use super::admission::{Admission, Place, Seat, Tap};
 use crate::config::Sockets;
-use crate::log;
 use axum::Router;
 use axum::body::Body;
 use axum::extract::{DefaultBodyLimit, Extension, FromRequest, Request, State};
@@ -26,6 +25,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout_at};
 use tower_service::Service as _;
+use tracing::{error, warn};
 
 /// A body holds at most this much.
 pub const BODY_MOST: usize = 64 << 10;
@@ -85,7 +85,7 @@
                     Ok((stream, _)) => stream,
                     Err(e) => {
                         // Prevents: out of descriptors, the loop spins.
-                        log!("accept: {e}");
+                        error!(front = "http", why = %e, "a connection can't be accepted");
                         tokio::time::sleep(Duration::from_millis(20)).await;
                         continue;
                     }
@@ -98,7 +98,11 @@
                 true => router.clone(),
                 // Prevents: clients beyond what can be served take the sockets of those within.
                 false => {
-                    log!("{} connections of clients: a further one gets a busy answer", sockets.inbound);
+                    warn!(
+                        front = "http",
+                        most = sockets.inbound,
+                        "too many connections: this one gets a busy answer"
+                    );
                     Router::new().fallback(too_many)
                 }
             };
--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -3,7 +3,6 @@
 mod line;
 
 use crate::config::Sockets;
-use crate::log;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -18,6 +17,7 @@
 use serde::Deserialize;
 use std::time::Duration;
 use tokio::time::timeout;
+use tracing::warn;
 
 /// A probe is answered within this time or has failed.
 const PROBE: Duration = Duration::from_millis(500);
@@ -204,7 +204,7 @@
                 }
                 Err(e) => {
                     let ending = broken(&e, &of);
-                    log!("hop {address}: {id}: {ending:?}: {}", chain(&e));
+                    warn!(hop = address, transaction = id, outcome = ?ending, why = chain(&e), "a branch broke before its answer");
                     teller.ended(ending, None);
                 }
             }
@@ -252,17 +252,18 @@
 
 /// Reads an answer up to its last line; whether its connection may be used again.
 async fn follow(body: &mut Incoming, id: &str, address: &str, teller: &mut impl Teller) -> bool {
+    let broke = |why: &str| warn!(hop = address, transaction = id, why, "a branch broke in its answer");
     let mut line = Vec::new();
     loop {
         let frame = match body.frame().await {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             Some(Err(e)) => {
-                log!("hop {address}: {id}: broke: {}", chain(&e));
+                broke(&chain(&e));
                 teller.ended(Ending::Reset, None);
                 return false;
             }
             None => {
-                log!("hop {address}: {id}: ended without a last line");
+                broke("ended without a last line");
                 teller.ended(Ending::Reset, None);
                 return false;
             }
@@ -280,12 +281,12 @@
             let Line { state, load, .. } = match read {
                 Ok(read) if read.id == id => read,
                 Ok(read) => {
-                    log!("hop {address}: {id}: a line for {}", read.id);
+                    broke(&format!("a line for {}", read.id));
                     teller.ended(Ending::Reset, None);
                     return false;
                 }
                 Err(e) => {
-                    log!("hop {address}: {id}: malformed line: {e}");
+                    broke(&format!("malformed line: {e}"));
                     teller.ended(Ending::Reset, None);
                     return false;
                 }
@@ -311,7 +312,7 @@
             return true;
         }
         if line.len() > LINE_MOST {
-            log!("hop {address}: {id}: a line without end");
+            broke("a line without end");
             teller.ended(Ending::Reset, None);
             return false;
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,5 +4,4 @@
 pub mod discovery;
 pub mod front;
 pub mod hop;
-pub mod log;
 pub mod shell;
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -8,12 +8,11 @@
 use crate::front::http::Front;
 use crate::front::{Gate, Heard};
 use crate::hop::{self, Hop, Keeping, Teller};
-use crate::log;
 use pumiceway_core::Ticket;
 use pumiceway_core::{
     Answer, BranchId, Core, Effect, Ending, Event, Job, News, Reach, Retention, RouteNews, Source,
 };
-use pumiceway_decisions::api::{Micros, Report, Status, WorkerId};
+use pumiceway_decisions::api::{ClassId, Micros, Report, Status, WorkerId};
 use pumiceway_decisions::settings::Conf;
 use std::collections::HashMap;
 use std::io;
@@ -24,6 +23,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet};
+use tracing::{debug, error, info, warn};
 
 /// The module's clock: Unix time at the start, and from then on only forward.
 #[derive(Clone, Copy, Debug)]
@@ -49,6 +49,15 @@
     }
 }
 
+/// A client that waits.
+struct Client {
+    answer: oneshot::Sender<Answer>,
+    news: Option<mpsc::UnboundedSender<News>>,
+    job: Arc<Job>,
+    class: ClassId,
+    since: Micros,
+}
+
 /// Runs what the core asks for.
 struct Shell {
     clock: Clock,
@@ -58,7 +67,7 @@
     workers: Option<Workers>,
     hops: HashMap<WorkerId, Hop>,
     branches: HashMap<BranchId, (hop::Branch, AbortHandle)>,
-    waiting: HashMap<Ticket, (oneshot::Sender<Answer>, Option<mpsc::UnboundedSender<News>>)>,
+    waiting: HashMap<Ticket, Client>,
     ready: Arc<AtomicBool>,
     close: watch::Sender<bool>,
     alarm: Option<Micros>,
@@ -203,7 +212,7 @@
             while fronts.join_next().await.is_some() {}
             gate.tell(Event::FrontsClosed);
         });
-        log!("{name} listens at {address}");
+        info!(name, %address, "listens");
         let mut stop = std::pin::pin!(stop);
         let mut stopping = false;
         while !shell.exit {
@@ -242,13 +251,15 @@
     fn hear(&mut self, heard: Heard) {
         match heard {
             Heard::Event(event) => {
-                if let Event::Ended { branch, .. } = &event {
+                if let Event::Ended { branch, ending, .. } = &event {
+                    debug!(branch = branch.0, outcome = ending.word(), "branch over");
                     self.branches.remove(branch);
                 }
                 self.feed(event);
             }
             Heard::Waiting { ticket, transaction, answer, news } => {
-                self.waiting.insert(ticket, (answer, news));
+                let (job, class, since) = (transaction.job.clone(), transaction.class, self.clock.now());
+                self.waiting.insert(ticket, Client { answer, news, job, class, since });
                 self.feed(Event::Submitted { ticket, transaction });
             }
             Heard::Asked(answer) => drop(answer.send(self.core.overview())),
@@ -268,6 +279,7 @@
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::Start { branch, hop, reach, class, job, left, fresh } => {
+                debug!(transaction = job.id, branch = branch.0, hop = %reach, class = self.class(class), "branch out");
                 let address = match (reach, &self.workers) {
                     (Reach::Address(address), _) => address,
                     (Reach::Session(session), Some(workers)) => {
@@ -278,6 +290,7 @@
                 self.start(branch, hop, &address, &job, Duration::from_micros(left), fresh);
             }
             Effect::Cut { branch } => {
+                debug!(branch = branch.0, outcome = "cut", "branch over");
                 if let Some((line, task)) = self.branches.remove(&branch) {
                     line.cut();
                     task.abort();
@@ -286,13 +299,14 @@
                 }
             }
             Effect::Answer { ticket, answer } => {
-                if let Some((waiting, _)) = self.waiting.remove(&ticket) {
+                if let Some(client) = self.waiting.remove(&ticket) {
+                    self.note(&client, &answer);
                     // A client that has just left needs none.
-                    let _ = waiting.send(answer);
+                    let _ = client.answer.send(answer);
                 }
             }
             Effect::Tell { ticket, news } => {
-                if let Some((_, Some(listener))) = self.waiting.get(&ticket) {
+                if let Some(Client { news: Some(listener), .. }) = self.waiting.get(&ticket) {
                     let _ = listener.send(news);
                 }
             }
@@ -328,7 +342,7 @@
             Effect::Ready => self.ready.store(true, Ordering::Relaxed),
             Effect::CloseFronts => drop(self.close.send(true)),
             Effect::Exit => self.exit = true,
-            Effect::Log(line) => log!("{line}"),
+            Effect::Warn { what, detail } => warn!(detail, "{what}"),
         }
     }
 
@@ -348,12 +362,28 @@
                 self.branches.insert(branch, (line, task));
             }
             Err(e) => {
-                log!("hop {address}: {e}");
+                error!(hop = address, transaction = job.id, why = %e, "no branch can be made");
                 self.never_connected(branch);
             }
         }
     }
 
+    fn class(&self, class: ClassId) -> &str {
+        self.conf.lanes.get(class.0).map_or("?", |lane| &lane.name)
+    }
+
+    /// Failures are for those who look after the dispatcher; of what went well or was busy there is too much.
+    fn note(&self, client: &Client, answer: &Answer) {
+        let (transaction, class) = (&client.job.id, self.class(client.class));
+        let ms = self.clock.now().saturating_sub(client.since) / 1_000;
+        let outcome = answer.word();
+        match answer {
+            Answer::Failed(why) => warn!(transaction, class, outcome, why, ms, "answered"),
+            Answer::Rejected(why) => info!(transaction, class, outcome, why = why.why(), ms, "answered"),
+            Answer::Served(_) | Answer::Busy { .. } => debug!(transaction, class, outcome, ms, "answered"),
+        }
+    }
+
     fn never_connected(&self, branch: BranchId) {
         self.gate.tell(Event::Ended { branch, ending: Ending::NotConnected, report: None });
     }
--- a/crates/pumiceway/src/main.rs
+++ b/crates/pumiceway/src/main.rs
@@ -3,8 +3,8 @@
 mod console;
 
 use argh::FromArgs;
+use pumiceway_logging::{Files, Flood, Format, Level, Log, Options, Sink};
 use pumiceway_net::config::{Config, ConfigError, GearmanConfig, Reload, ZooKeeperConfig};
-use pumiceway_net::log;
 use pumiceway_net::shell::Dispatcher;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
@@ -39,6 +39,33 @@
     /// file that switches on a route set in ZooKeeper
     #[argh(option)]
     zookeeper: Option<PathBuf>,
+    /// which lines are logged: off, error, warn, info (the default), debug or trace; also for a part, as in
+    /// info,pumiceway_net::hop=debug
+    #[argh(option)]
+    log_level: Option<Level>,
+    /// how they look: text (the default) or json
+    #[argh(option, default = "Format::Text")]
+    log_format: Format,
+    /// write them to this file, and older ones beside it, rather than to standard error
+    #[argh(option)]
+    log_file: Option<PathBuf>,
+    /// a file that has passed this many megabytes is put aside (8)
+    #[argh(option, default = "8")]
+    log_megabytes: usize,
+    /// how many older files are kept (4)
+    #[argh(option, default = "4")]
+    log_older: usize,
+}
+
+impl Serve {
+    fn log(&self) -> Options {
+        let (bytes, older) = (self.log_megabytes.clamp(1, 1_024) << 20, self.log_older.min(100));
+        let sink = match &self.log_file {
+            Some(path) => Sink::Files(Files { path: path.clone(), bytes, older }),
+            None => Sink::Stderr,
+        };
+        Options { format: self.log_format, sink, level: self.log_level.clone(), flood: Flood::default() }
+    }
 }
 
 /// Read the configuration, say what is wrong with it, and end.
@@ -72,7 +99,13 @@
 
 fn main() -> ExitCode {
     let result = match argh::from_env::<Args>().command {
-        Command::Serve(Serve { gearman, zookeeper }) => config(gearman, zookeeper).and_then(serve),
+        Command::Serve(asked) => {
+            let log = asked.log();
+            config(asked.gearman, asked.zookeeper).and_then(|config| {
+                let _log = Log::start(log).map_err(|e| e.to_string())?;
+                serve(config)
+            })
+        }
         Command::CheckConfig(CheckConfig { gearman, zookeeper }) => {
             config(gearman, zookeeper).map(|c| println!("{}: good", c.name))
         }
@@ -116,7 +149,7 @@
                 // Prevents: a file that is wrong or half written takes a dispatcher down that serves.
                 match Reload::read(&fixed, |key| std::env::var(key).ok()) {
                     Ok(reload) => drop(tell.send(reload)),
-                    Err(e) => log!("configuration not taken, the old one stays: {e}"),
+                    Err(e) => tracing::error!(why = %e, "configuration not taken, the old one stays"),
                 }
             }
         });
