The site file: one TOML file in plain units, written by init, with errors that name the line

Need: a new site had to write JSON in microseconds by hand and to switch the Gearman front on with a second file.

The files of the Gearman front and of ZooKeeper name the line too. The platform's build has none of this.

Seen: 19 kinds of bad files in a test, each with its line and key; a test plays a newcomer from init to the first job of each class, answered; the comments of the file that init writes are proved to be the defaults.

--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -1,7 +1,7 @@
 //! The one place where configuration is read, checked and given defaults. Every message names its key.
 
 use crate::discovery::Listing;
-use pumiceway_core::Retention;
+pub use pumiceway_core::Retention;
 use pumiceway_decisions::api::{ClassId, Micros, Settings};
 use pumiceway_decisions::settings::Conf;
 use serde::Deserialize;
@@ -166,13 +166,45 @@
         .map_err(|e| ConfigError::File { file: file.display().to_string(), why: e.to_string() })
 }
 
+/// What is wrong with a TOML text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TomlError {
+    /// Where it is, as an offset in bytes.
+    pub at: Option<usize>,
+    /// The key; empty where there is none.
+    pub key: String,
+    /// What is wrong.
+    pub why: String,
+}
+
+/// Reads a TOML text.
+pub fn parse_toml<T: DeserializeOwned>(text: &str) -> Result<T, TomlError> {
+    let wrong = |e: &toml::de::Error, key: String| TomlError {
+        at: e.span().map(|span| span.start),
+        key,
+        why: e.message().to_owned(),
+    };
+    let parsed = toml::Deserializer::parse(text).map_err(|e| wrong(&e, String::new()))?;
+    serde_path_to_error::deserialize(parsed).map_err(|e| {
+        // The path of a spanned value has a part that stands for its wrapper.
+        let path = e.path().to_string();
+        let parts = path.split('.').filter(|part| !part.is_empty() && !part.starts_with("$__"));
+        wrong(e.inner(), parts.collect::<Vec<_>>().join("."))
+    })
+}
+
 /// Reads a file of ours.
 pub fn read_toml<T: DeserializeOwned>(file: &Path) -> Result<T, ConfigError> {
     let text = read(file)?;
-    let name = file.display().to_string();
-    let parsed = toml::Deserializer::parse(&text)
-        .map_err(|e| ConfigError::File { file: name.clone(), why: e.to_string() })?;
-    serde_path_to_error::deserialize(parsed).map_err(at(&name))
+    parse_toml(&text).map_err(|TomlError { at, key, why }| {
+        let lines = |at: usize| text.bytes().take(at).filter(|&b| b == b'\n').count();
+        let place = at.map_or_else(String::new, |at| format!(", line {}", 1 + lines(at)));
+        let file = format!("{}{place}", file.display());
+        match key.as_str() {
+            "" => ConfigError::File { file, why },
+            _ => bad(&key, format!("{why} (in {file})")),
+        }
+    })
 }
 
 /// Checks an address that is written under a key.
@@ -231,6 +263,33 @@
     }
 }
 
+impl Config {
+    /// A configuration that stands elsewhere than in the platform's file: listeners, settings, the next hops that
+    /// it lists, and the descriptors and megabytes that the process may use.
+    pub fn of_site(
+        name: String,
+        listen: SocketAddr,
+        conf: Conf,
+        known: Listing,
+        (sockets, memory_mb): (usize, u64),
+    ) -> Result<Config, ConfigError> {
+        let settings = conf.settings().map_err(|e| bad("settings", e))?;
+        Ok(Config {
+            name,
+            listen,
+            discovery: None,
+            seed: fastrand::u64(..),
+            sockets: Sockets::share_out(sockets.max(SOCKETS_LEAST), memory_mb),
+            known: Some(known),
+            conf: Arc::new(conf),
+            settings,
+            gearman: None,
+            zookeeper: None,
+            fixed: Fixed::default(),
+        })
+    }
+}
+
 /// All of a configuration but what is read again; of the settings, each key by itself.
 fn fixed(text: &str) -> Fixed {
     let mut all: BTreeMap<String, serde_json::Value> = serde_json::from_str(text).unwrap_or_default();
@@ -404,13 +463,7 @@
             let left = conf.lanes[class].deadline_us;
             functions.insert(name, Function { class: ClassId(class), slots: f.slots, left });
         }
-        if functions.is_empty() {
-            let own = |(n, lane): (usize, &pumiceway_decisions::settings::Lane)| {
-                (lane.name.clone(), Function { class: ClassId(n), slots: 1.0, left: lane.deadline_us })
-            };
-            functions = conf.lanes.iter().enumerate().map(own).collect();
-        }
-        Ok(GearmanConfig {
+        let config = GearmanConfig {
             listen: address("listen", &written.listen)?,
             connections: written.connections,
             jobs: written.jobs,
@@ -423,6 +476,18 @@
                 bytes: written.kept_mb << 20,
             },
             functions,
-        })
+        };
+        Ok(config.with_default_functions(conf))
+    }
+
+    /// The same; without any function, each class is one of its own name.
+    pub fn with_default_functions(mut self, conf: &Conf) -> GearmanConfig {
+        if self.functions.is_empty() {
+            let own = |(n, lane): (usize, &pumiceway_decisions::settings::Lane)| {
+                (lane.name.clone(), Function { class: ClassId(n), slots: 1.0, left: lane.deadline_us })
+            };
+            self.functions = conf.lanes.iter().enumerate().map(own).collect();
+        }
+        self
     }
 }
--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -58,6 +58,14 @@
     pub since_ms: u64,
 }
 
+impl Endpoint {
+    /// One that has been ready for long.
+    pub fn ready(name: String, address: String, zone: String) -> Endpoint {
+        let (zone, status) = (Some(zone), Status::Ready);
+        Endpoint { name, address, zone, kind: None, group: None, status, weight: None, since_ms: 0 }
+    }
+}
+
 /// What discovery says of a next hop.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(rename_all = "snake_case")]
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -156,6 +156,7 @@
     ) -> io::Result<()> {
         let Dispatcher { mut config, gearman, listener } = self;
         let (name, address) = (config.name, listener.local_addr()?);
+        let gearman_address = gearman.as_ref().map(|(_, listener)| listener.local_addr()).transpose()?;
         let clock = Clock::start();
         let (gate, mut heard) = Gate::new();
         let (close, closing) = watch::channel(false);
@@ -212,7 +213,7 @@
             while fronts.join_next().await.is_some() {}
             gate.tell(Event::FrontsClosed);
         });
-        info!(name, %address, "listens");
+        info!(name, %address, gearman = gearman_address.map(tracing::field::display), "listens");
         let mut stop = std::pin::pin!(stop);
         let mut stopping = false;
         while !shell.exit {
--- a/crates/pumiceway/src/main.rs
+++ b/crates/pumiceway/src/main.rs
@@ -1,6 +1,8 @@
 //! The command line.
 
 mod console;
+#[cfg(feature = "appliance")]
+mod init;
 
 use argh::FromArgs;
 use pumiceway_logging::{Files, Flood, Format, Level, Log, Options, Sink};
@@ -25,6 +27,8 @@
 enum Command {
     Serve(Serve),
     CheckConfig(CheckConfig),
+    #[cfg(feature = "appliance")]
+    Init(init::Init),
     Console(Console),
     Version(Version),
 }
@@ -33,6 +37,10 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
+    /// the site file of an appliance; without one, ROUTER_CONFIG names the platform's configuration
+    #[cfg(feature = "appliance")]
+    #[argh(option)]
+    site: Option<PathBuf>,
     /// file that switches the Gearman front on
     #[argh(option)]
     gearman: Option<PathBuf>,
@@ -72,6 +80,10 @@
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check-config")]
 struct CheckConfig {
+    /// the site file of an appliance; without one, ROUTER_CONFIG names the platform's configuration
+    #[cfg(feature = "appliance")]
+    #[argh(option)]
+    site: Option<PathBuf>,
     /// file that switches the Gearman front on
     #[argh(option)]
     gearman: Option<PathBuf>,
@@ -101,14 +113,18 @@
     let result = match argh::from_env::<Args>().command {
         Command::Serve(asked) => {
             let log = asked.log();
-            config(asked.gearman, asked.zookeeper).and_then(|config| {
+            let site = site!(asked);
+            let reads_again = site.is_none();
+            config(site, asked.gearman, asked.zookeeper).and_then(|config| {
                 let _log = Log::start(log).map_err(|e| e.to_string())?;
-                serve(config)
+                serve(config, reads_again)
             })
         }
-        Command::CheckConfig(CheckConfig { gearman, zookeeper }) => {
-            config(gearman, zookeeper).map(|c| println!("{}: good", c.name))
+        Command::CheckConfig(asked) => {
+            config(site!(asked), asked.gearman, asked.zookeeper).map(|c| println!("{}: good", c.name))
         }
+        #[cfg(feature = "appliance")]
+        Command::Init(init) => init.run(),
         Command::Console(Console { address, command }) => console::run(address, command.as_deref()),
         Command::Version(Version {}) => {
             println!("pumiceway {}", env!("CARGO_PKG_VERSION"));
@@ -124,7 +140,42 @@
     }
 }
 
-fn config(gearman: Option<PathBuf>, zookeeper: Option<PathBuf>) -> Result<Config, String> {
+/// The site file asked for, in a build that knows of any.
+macro_rules! site {
+    ($asked:ident) => {{
+        #[cfg(feature = "appliance")]
+        let site: Option<PathBuf> = $asked.site.clone();
+        #[cfg(not(feature = "appliance"))]
+        let site: Option<PathBuf> = None;
+        site
+    }};
+}
+use site;
+
+#[cfg(feature = "appliance")]
+fn read_site(file: &std::path::Path) -> Result<Config, String> {
+    pumiceway_site::read_file(file).map_err(|e| e.to_string())
+}
+
+#[cfg(not(feature = "appliance"))]
+fn read_site(file: &std::path::Path) -> Result<Config, String> {
+    Err(format!("{}: this build knows no site files", file.display()))
+}
+
+fn config(
+    site: Option<PathBuf>,
+    gearman: Option<PathBuf>,
+    zookeeper: Option<PathBuf>,
+) -> Result<Config, String> {
+    if let Some(site) = site {
+        if gearman.is_some() {
+            return Err("--gearman: with a site file, its listen.gearman switches that front on".to_owned());
+        }
+        let mut config = read_site(&site)?;
+        let zookeeper = zookeeper.map(|f| ZooKeeperConfig::from_file(&f)).transpose();
+        config.zookeeper = zookeeper.map_err(|e| e.to_string())?;
+        return Ok(config);
+    }
     let read = || -> Result<Config, ConfigError> {
         let mut config = Config::from_environment(|key| std::env::var(key).ok())?;
         let inbound = config.sockets.inbound;
@@ -135,7 +186,7 @@
     read().map_err(|e| e.to_string())
 }
 
-fn serve(config: Config) -> Result<(), String> {
+fn serve(config: Config, reads_again: bool) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
     let run = async {
@@ -146,6 +197,10 @@
         let fixed = config.fixed.clone();
         tokio::spawn(async move {
             while hangup.recv().await.is_some() {
+                if !reads_again {
+                    tracing::warn!("a site file is read at the start only: what has changed takes a restart");
+                    continue;
+                }
                 // Prevents: a file that is wrong or half written takes a dispatcher down that serves.
                 match Reload::read(&fixed, |key| std::env::var(key).ok()) {
                     Ok(reload) => drop(tell.send(reload)),
