--- a/crates/pumiceway/examples/toy.rs
+++ b/crates/pumiceway/examples/toy.rs
@@ -62,8 +62,13 @@
         let (kind, parts) = receive(stream)?;
         match kind {
             JOB_CREATED => println!("taken as {}", parts[0]),
-            WORK_COMPLETE => return Ok(println!("served: {}", parts[1])),
-            WORK_FAIL => return Ok(println!("not served")),
+            WORK_COMPLETE | WORK_FAIL => {
+                println!(
+                    "{}",
+                    parts.get(1).map_or("not served".to_owned(), |made| format!("served: {made}"))
+                );
+                return Ok(());
+            }
             _ => println!("{}", parts.join(" ")),
         }
     }
