--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build, test, lint and run.
 
-.PHONY: build test lint run run-gearman console check
+.PHONY: build test soak lint run run-gearman console check
 
 build:
 	cargo build --release --locked
@@ -8,6 +8,10 @@
 test:
 	cargo test --locked --workspace
 
+# What takes minutes: every crash point of the store.
+soak:
+	SOAK=1 cargo test --locked --workspace -- --nocapture
+
 lint:
 	cargo fmt --check
 	cargo clippy --locked --workspace --all-targets -- -D warnings
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -95,9 +95,9 @@
     for c in &mut s.classes {
         c.deadline = 1_500 * MS;
     }
-    s.tells_start = seed % 2 == 0;
-    s.list_by_asking = seed % 3 == 0;
-    s.probes = seed % 5 != 0;
+    s.tells_start = seed.is_multiple_of(2);
+    s.list_by_asking = seed.is_multiple_of(3);
+    s.probes = !seed.is_multiple_of(5);
     let workers: Vec<_> = (0..6).map(|w| entry(w, zone(w))).collect();
     let mut t = Bench::new(s.clone(), &workers, 2.0);
     let mut judge = Judge { s, requests: BTreeMap::new(), told: BTreeMap::new() };
