--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -305,10 +305,10 @@
 
     fn sweep(&mut self) {
         for request in self.touched.drain(..) {
-            if self.requests.get(&request).is_some_and(|o| o.ended && o.attempts_out == 0) {
-                if let Some(open) = self.requests.remove(&request) {
-                    self.request_handles.remove(&open.id);
-                }
+            if self.requests.get(&request).is_some_and(|o| o.ended && o.attempts_out == 0)
+                && let Some(open) = self.requests.remove(&request)
+            {
+                self.request_handles.remove(&open.id);
             }
         }
     }
