Rig: one echoing Gearman worker for tests and benchmark

Need: the front's test and the benchmark each had the same worker written out.

Change: pumiceway_rig::gearman_echo serves both; behaviour and assertions as they were.

--- a/crates/net/benches/jobs.rs
+++ b/crates/net/benches/jobs.rs
@@ -2,9 +2,9 @@
 //! at once. Run with `cargo bench -p pumiceway-net`; everything is on loopback and ends by itself.
 
 use hdrhistogram::Histogram;
-use pumiceway_rig::{Peer, Stage};
+use pumiceway_rig::{Peer, Stage, gearman_echo};
 use std::collections::VecDeque;
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 const SETTINGS: &str = r#"{"zones":["a"],"my-zone":"a","kinds":["m"],"limits":{"most-tries":6},"rules":{},
@@ -22,34 +22,13 @@
     (32, 250, 10_000, 0),
 ];
 
-fn worker(address: SocketAddr, takes: Duration) {
-    let Ok(stream) = TcpStream::connect(address) else { return };
-    let mut peer = Peer::new(stream);
-    peer.send("[CAN_DO booking-import]");
-    peer.send("[CAN_DO rate-push]");
-    peer.send("[GRAB_JOB]");
-    while let Ok((name, parts)) = peer.packet() {
-        match name.as_str() {
-            "JOB_ASSIGN" => {
-                if !takes.is_zero() {
-                    std::thread::sleep(takes);
-                }
-                peer.send(&format!("[WORK_COMPLETE {}|{}]", parts[0], parts[2]));
-                peer.send("[GRAB_JOB]");
-            }
-            "NO_JOB" => peer.send("[PRE_SLEEP]"),
-            _ => peer.send("[GRAB_JOB]"),
-        }
-    }
-}
-
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     println!("workers  at a time   jobs  takes ms  served   jobs/s   p50 ms   p99 ms   max ms");
     for (workers, at_a_time, jobs, takes_us) in PLAYS {
         let stage = Stage::with_settings(&[], None, SETTINGS);
         for _ in 0..workers {
             let address = stage.gearman;
-            std::thread::spawn(move || worker(address, Duration::from_micros(takes_us)));
+            std::thread::spawn(move || gearman_echo(address, Duration::from_micros(takes_us)));
         }
         let mut client = Peer::new(TcpStream::connect(stage.gearman)?);
         let mut times = Histogram::<u64>::new(3)?;
--- a/crates/net/tests/fronts.rs
+++ b/crates/net/tests/fronts.rs
@@ -1,6 +1,6 @@
 //! Both fronts, played on loopback against stand-ins.
 
-use pumiceway_rig::{Peer, SETTINGS, Stage};
+use pumiceway_rig::{Peer, SETTINGS, Stage, gearman_echo};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -578,7 +578,7 @@
     let stage = Stage::with_settings(&[], None, PLAIN);
     for _ in 0..4 {
         let address = stage.gearman;
-        std::thread::spawn(move || quick_worker(address));
+        std::thread::spawn(move || gearman_echo(address, Duration::from_millis(1)));
     }
     let mut client = Peer::new(TcpStream::connect(stage.gearman).unwrap());
     let submit = |client: &mut Peer, n: u32| {
@@ -603,25 +603,6 @@
     }
 }
 
-/// A Gearman worker that takes a millisecond for each job.
-fn quick_worker(address: SocketAddr) {
-    let mut worker = Peer::new(TcpStream::connect(address).unwrap());
-    worker.send("[CAN_DO booking-import]");
-    worker.send("[CAN_DO rate-push]");
-    worker.send("[GRAB_JOB]");
-    while let Ok((name, parts)) = worker.packet() {
-        match name.as_str() {
-            "JOB_ASSIGN" => {
-                std::thread::sleep(Duration::from_millis(1));
-                worker.send(&format!("[WORK_COMPLETE {}|{}]", parts[0], parts[2]));
-                worker.send("[GRAB_JOB]");
-            }
-            "NO_JOB" => worker.send("[PRE_SLEEP]"),
-            _ => worker.send("[GRAB_JOB]"),
-        }
-    }
-}
-
 /// A Gearman worker that counts what it runs, and drops out in the middle of every job that says so.
 fn gearman_worker(address: SocketAddr, runs: Runs) {
     loop {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -382,3 +382,25 @@
     bytes.extend(body.bytes());
     bytes
 }
+
+/// A Gearman worker that takes this long for each job and gives back what it was given, until its session ends.
+pub fn gearman_echo(address: SocketAddr, takes: Duration) {
+    let Ok(stream) = TcpStream::connect(address) else { return };
+    let mut peer = Peer::new(stream);
+    peer.send("[CAN_DO booking-import]");
+    peer.send("[CAN_DO rate-push]");
+    peer.send("[GRAB_JOB]");
+    while let Ok((name, parts)) = peer.packet() {
+        match name.as_str() {
+            "JOB_ASSIGN" => {
+                if !takes.is_zero() {
+                    std::thread::sleep(takes);
+                }
+                peer.send(&format!("[WORK_COMPLETE {}|{}]", parts[0], parts[2]));
+                peer.send("[GRAB_JOB]");
+            }
+            "NO_JOB" => peer.send("[PRE_SLEEP]"),
+            _ => peer.send("[GRAB_JOB]"),
+        }
+    }
+}
