Discovery: calls are spread over the fleet and back off with its size

Cause: all dispatchers called discovery together, at the start and after a mass restart, and asked again 0.1 to 1.2 s after each failure whatever their number (PAUSE_FIRST and PAUSE_MOST in net/src/discovery/mod.rs). The service works through calls in turn; one that has waited 2 s fails but is worked through all the same, so its queue never emptied.

Ruled out: whole lists asked for needlessly (none was; a watch goes on from the index of known).

Change: discovery/pace.rs, without I/O: a dispatcher draws the time of its first call from 50 ms for each instance that the settings tell, doubles that with each failure up to eight times (never over ask-within), and begins anew once a watch has stood for 2.5 s. The nudge of the decisions is gone: it only cut pauses short. The log now tells each list line heard and how long a broken watch had stood; debug tells probes.

The test drives 100 paces against a service of 20 and 10 calls a second; with the former pace dispatchers are left that nobody serves.

--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -1,5 +1,6 @@
 //! Discovery: the route set as the platform's service lists it, by list and by watch.
 
+mod pace;
 pub mod zookeeper;
 
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use pace::Pace;
 use pumiceway_core::{NextHop, Reach, RouteNews, Source};
 use pumiceway_decisions::api::{Micros, WorkerState};
 use pumiceway_decisions::settings::Conf;
@@ -15,17 +17,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, mpsc};
-use tokio::time::{sleep, timeout};
-use tracing::warn;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, timeout};
+use tracing::{info, warn};
 
 /// A call is answered within this time or has failed.
 const CALL: Duration = Duration::from_millis(2_500);
 /// Discovery sends a line every 2 s. One that is missing for this long tells that the watch is lost.
 const SILENCE: Duration = Duration::from_millis(3_000);
-/// Waits between calls that fail.
-const PAUSE_FIRST: Duration = Duration::from_millis(100);
-const PAUSE_MOST: Duration = Duration::from_millis(800);
 /// A line of a watch may be this long.
 const LINE_MOST: usize = 4 << 20;
 
@@ -126,8 +125,6 @@
     pub conf: Arc<Conf>,
     /// The version that is known already; without one the whole list comes first.
     pub index: Option<u64>,
-    /// Wakes the watcher from a pause.
-    pub nudge: Arc<Notify>,
     /// Who is told.
     pub tell: mpsc::UnboundedSender<(Source, RouteNews)>,
 }
@@ -145,9 +142,14 @@
     /// Lists and watches, again and again.
     pub async fn run(mut self) {
         // Prevents: a watch from nowhere begins with what changes next, and a second call has to ask for the list.
-        let (mut pause, mut list_first) = (PAUSE_FIRST, self.index.is_none());
+        let mut list_first = self.index.is_none();
+        let ask_within = Duration::from_micros(self.conf.rules.ask_within_us);
+        let mut pace = Pace::new(self.conf.n_instances, ask_within);
+        // Prevents: dispatchers that start together call together, and most of them wait in vain.
+        sleep(pace.first(fastrand::f64())).await;
         loop {
             let before = self.index;
+            let called = Instant::now();
             let broken = match self.round(list_first).await {
                 Ok(()) => Broken::Ended("the watch ended".into()),
                 Err(broken) => broken,
@@ -156,17 +158,14 @@
             match broken {
                 Broken::Unheard => return,
                 Broken::Ended(why) | Broken::Malformed(why) => {
-                    warn!(discovery = self.address, why, "the watch broke")
+                    let ms = called.elapsed().as_millis() as u64;
+                    warn!(discovery = self.address, why, ms, "the watch broke")
                 }
             }
             if self.tell.send((Source::Discovery, RouteNews::Lost)).is_err() {
                 return;
             }
-            pause = if self.index > before { PAUSE_FIRST } else { (pause * 2).min(PAUSE_MOST) };
-            let jitter = pause.mul_f64(0.5 + fastrand::f64());
-            let _ = timeout(jitter, self.nudge.notified()).await;
-            // Prevents: nudges that come close together turn into a storm of calls.
-            sleep(PAUSE_FIRST / 2).await;
+            sleep(pace.next(called.elapsed(), self.index > before, fastrand::f64())).await;
         }
     }
 
@@ -210,6 +209,8 @@
         if self.index.is_none() && !whole && !asked {
             return Err(Broken::Malformed("changes came before the whole list".into()));
         }
+        let (index, lines) = (listing.index, listing.endpoints.len());
+        info!(discovery = self.address, index, whole, lines, "the route set is told");
         self.index = Some(listing.index);
         let hops = listing.hops(&self.conf);
         let news = if whole { RouteNews::Whole(hops) } else { RouteNews::Changes(hops) };
--- /dev/null
+++ b/crates/net/src/discovery/pace.rs
@@ -0,0 +1,110 @@
+//! When to call discovery. It is one service for all dispatchers and works through calls in turn; one that has
+//! waited too long has failed, but is worked through all the same. So a fleet that calls faster than it is
+//! served is never served again: the pace has to come from the callers, who do not know of each other.
+
+use std::time::Duration;
+
+/// All dispatchers together call this often when they all begin at once: each draws its time from as many of
+/// these as there are dispatchers.
+const EACH: Duration = Duration::from_millis(50);
+/// The least wait between a call that has ended and the next.
+const LEAST: Duration = Duration::from_millis(50);
+/// Each failure in a row doubles the time that is drawn from, up to this many times its beginning.
+const DOUBLINGS: u32 = 3;
+/// A watch that has stood for so long counts as served, whether anything changed or not.
+const STOOD: Duration = Duration::from_millis(2_500);
+
+/// The pace of one dispatcher's calls.
+#[derive(Clone, Debug)]
+pub struct Pace {
+    spread: Duration,
+    most: Duration,
+    failures: u32,
+}
+
+impl Pace {
+    /// For one of this many dispatchers, which counts as told after `ask_within` without a call (zero: never).
+    pub fn new(instances: usize, ask_within: Duration) -> Pace {
+        let spread = EACH * u32::try_from(instances.clamp(2, 1 << 20)).unwrap_or(1 << 20);
+        let bound = if ask_within.is_zero() { Duration::MAX } else { ask_within.max(spread) };
+        Pace { spread, most: (spread * (1 << DOUBLINGS)).min(bound), failures: 0 }
+    }
+
+    /// The wait before the first call; `draw` is uniform from 0 to 1.
+    pub fn first(&self, draw: f64) -> Duration {
+        self.spread.mul_f64(draw)
+    }
+
+    /// The wait before the next call, when one has ended after `lasted`; `served` when it brought news.
+    pub fn next(&mut self, lasted: Duration, served: bool, draw: f64) -> Duration {
+        self.failures = if served || lasted > STOOD { 0 } else { (self.failures + 1).min(DOUBLINGS) };
+        LEAST + (self.spread * (1 << self.failures)).min(self.most).mul_f64(draw)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    const INSTANCES: usize = 100;
+    const MS: u64 = 1_000;
+
+    /// A service that takes this long (µs) for a call, in turn, and ends one unserved that has waited for 2 s.
+    /// Half way the fleet has to call anew. When the last dispatcher was served each time, in µs; and the most
+    /// calls in a second.
+    fn play(work: u64) -> ([u64; 2], usize) {
+        let mut rng = fastrand::Rng::with_seed(3);
+        let mut paces = vec![Pace::new(INSTANCES, Duration::from_secs(10)); INSTANCES];
+        let (mut last, mut calls, mut free) = ([0; 2], Vec::new(), 0u64);
+        for (n, last) in last.iter_mut().enumerate() {
+            let begins = n as u64 * 60_000 * MS;
+            let mut due: BTreeSet<(u64, usize)> = (paces.iter().enumerate())
+                .map(|(at, pace)| (begins + pace.first(rng.f64()).as_micros() as u64, at))
+                .collect();
+            while let Some((now, at)) = due.pop_first() {
+                calls.push(now);
+                free = free.max(now) + work;
+                if free - now <= 2_000 * MS {
+                    *last = (*last).max(free - begins);
+                    paces[at].next(Duration::from_secs(30), true, 0.0);
+                    continue;
+                }
+                let wait = paces[at].next(Duration::from_secs(2), false, rng.f64());
+                due.insert((now + 2_000 * MS + wait.as_micros() as u64, at));
+                assert!(now < begins + 60_000 * MS, "dispatchers are left that nobody serves");
+            }
+        }
+        let within = |from: u64| calls.iter().filter(|&&c| c >= from && c < from + 1_000 * MS).count();
+        (last, calls.iter().map(|&c| within(c)).max().unwrap_or(0))
+    }
+
+    // Guards against a fleet that asks again faster than it is served: every call waited too long, its work was
+    // done for nobody, and dispatchers stayed with the list of their start for the whole day.
+    #[test]
+    fn a_fleet_that_calls_at_once_is_served_by_a_service_that_is_overbooked() {
+        for (work, within) in [(50 * MS, 10), (100 * MS, 30)] {
+            let (last, most) = play(work);
+            assert!(last.iter().all(|&l| l < within * 1_000 * MS), "{work}: {last:?}");
+            // What comes by chance on top of one call each 50 ms.
+            assert!(most <= 36, "{work}: {most}");
+        }
+    }
+
+    #[test]
+    fn a_small_site_hears_again_at_once_and_waits_are_bounded() {
+        for instances in [0, 1, 3] {
+            let mut pace = Pace::new(instances, Duration::ZERO);
+            assert!(pace.first(1.0) <= Duration::from_millis(150));
+            for _ in 0..40 {
+                assert!(pace.next(Duration::ZERO, false, 1.0) <= Duration::from_millis(1_250));
+            }
+            assert!(pace.next(Duration::from_secs(3), false, 1.0) <= Duration::from_millis(200));
+        }
+        let mut vast = Pace::new(usize::MAX, Duration::from_secs(10));
+        assert!(vast.next(Duration::ZERO, false, 1.0) < Duration::MAX);
+        let mut fleet = Pace::new(INSTANCES, Duration::from_secs(10));
+        let waits: Vec<_> = (0..9).map(|_| fleet.next(Duration::ZERO, false, 1.0)).collect();
+        assert!(waits.iter().all(|&w| w <= Duration::from_millis(10_050)), "{waits:?}");
+    }
+}
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -21,7 +21,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet};
 use tracing::{debug, error, info, warn};
 
@@ -81,17 +81,15 @@
 /// A watch of a discovery service; ends when dropped.
 struct Watch {
     told: mpsc::UnboundedReceiver<(Source, RouteNews)>,
-    nudge: Arc<Notify>,
     _task: JoinSet<()>,
 }
 
 impl Watch {
     fn start(address: String, conf: Arc<Conf>, index: Option<u64>) -> Watch {
         let (tell, told) = mpsc::unbounded_channel();
-        let nudge = Arc::<Notify>::default();
         let mut task = JoinSet::new();
-        task.spawn(Watcher { address, conf, index, nudge: nudge.clone(), tell }.run());
-        Watch { told, nudge, _task: task }
+        task.spawn(Watcher { address, conf, index, tell }.run());
+        Watch { told, _task: task }
     }
 
     async fn news(watch: &mut Option<Watch>) -> (Source, RouteNews) {
@@ -324,14 +322,13 @@
                 let (client, gate) = (self.hop(hop, &address), self.gate.clone());
                 tokio::spawn(async move {
                     let (status, report) = client.probe().await;
+                    debug!(hop = client.address(), ?status, ?report, "probe over");
                     gate.tell(Event::Probed { hop, probe, status, report });
                 });
             }
             Effect::Disconnect { hop } => drop(self.hops.remove(&hop)),
-            Effect::Watch => {
-                let watches = [&self.watch, &self.next_watch];
-                watches.into_iter().flatten().for_each(|w| w.nudge.notify_one());
-            }
+            // It is watched from the first configuration on, at a pace of its own.
+            Effect::Watch => {}
             Effect::WatchAt { address, index } => {
                 let watch = Watch::start(address, self.conf.clone(), index);
                 match self.watch {
