Large fleets: hold what finds no room, use cold workers, remember blocked ones

Change, only where reports are asked for and instances outnumber workers: no followup, so what finds no room is held and refused when too late to start; workers with a slot to spare first; a job that did not start at once and was called off closes its worker for 1, 2, 4 s, with jitter; a cold worker for which it is our turn comes first, and is too weak only if its jobs want more than it has. Small fleets are dealt with as before.

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -17,11 +17,17 @@
 const COLD_MARGIN: f64 = 1.2;
 /// A `full` answer closes a worker for this long.
 const FULL_PAUSE: Micros = 1_000_000;
+/// Where instances outnumber workers, so does a job that did not start at once and was called off; for twice
+/// as long with each further one in a row, so often at most.
+const LATE_DOUBLINGS: u32 = 2;
 /// First and longest wait before a worker that failed is tried again.
 const RETRIAL: Micros = 250_000;
 const RETRIAL_MOST: Micros = 4_000_000;
 /// Silence, in mean running times, after which a worker with our work out is asked for a sign of life.
 const SILENCE: f64 = 3.0;
+/// Where instances outnumber workers, those come first that keep so many slots free beyond the job: others see
+/// the same old report, and some have sent there since.
+const SPARE: f64 = 1.0;
 /// Probes that one request pays for, and how many may be saved up.
 const PROBES_PER_REQUEST: f64 = 2.0;
 const PROBES_SAVED: f64 = 8.0;
@@ -327,12 +333,17 @@
     fn cold_room(&self, now: Micros, w: &Worker, r: &Request) -> bool {
         let Some(age) = self.cold_age(now, w) else { return true };
         let warm = self.s.cold_from + (1.0 - self.s.cold_from) * age as f64 / self.s.cold_for as f64;
-        // Prevents: a job meets a worker so weak that it misses its aim there even if it starts at once.
+        // Prevents: a job meets a worker so weak that it misses its aim there even if it starts at once. Where
+        // instances outnumber workers nobody else would use it either, and a job that finds it nearly empty is
+        // slowed only where the jobs there want more than it has.
         let class = &self.s.classes[r.class.0];
-        if warm * (class.stretch + class.aim as f64 / self.expected_run(r)) < COLD_MARGIN {
+        let total = self.slots_of(w, r);
+        let wanted = if self.thin() { w.own + self.others_now(now, w, total) + r.slots } else { total };
+        let speed = (warm * total / wanted).min(1.0);
+        if speed * (class.stretch + class.aim as f64 / self.expected_run(r)) < COLD_MARGIN {
             return false;
         }
-        let budget = self.s.tip_multiple * warm * self.slots_of(w, r) * self.s.fall_window as f64;
+        let budget = self.s.tip_multiple * warm * total * self.s.fall_window as f64;
         // Prevents: heavy jobs count like light ones; and of jobs with hints there is always one small enough
         // for any instance's share. Hence one size of grant for all of those.
         let cost = self.cold_cost(w, r);
@@ -370,6 +381,11 @@
         (falls && !w.warm && w.ready_at > 0 && age < self.s.cold_for).then_some(age)
     }
 
+    /// Instances outnumber workers: none sees much of any worker, and what reports show others see as well.
+    fn thin(&self) -> bool {
+        self.asks() && self.tags.iter().all(|t| t.script.len() < self.s.instances)
+    }
+
     // ---- Dispatch.
 
     fn choose(&self, now: Micros, r: &Request, allowed: &Allowed, followup: bool) -> Choice {
@@ -382,35 +398,50 @@
         let asks = self.asks();
         let lively = asks && self.m.report_period < LIVELY * self.mean_run;
         let fresh = now.saturating_sub((FRESH * self.mean_run) as Micros);
-        for &id in walk {
-            let w = self.w(id);
-            // Prevents: when the fleet is full on the mean, workers nobody has heard of are never found free.
-            // Only where reports are younger than jobs: older ones show room that others have taken since.
-            let unknown = lively && now as f64 > w.report_at as f64 + FADES;
-            let valid = self.starts_now(now, w, r);
-            if !valid && !unknown || !self.able(now, id, r, allowed) {
-                continue;
-            }
-            if w.report_at >= fresh || !asks {
-                return Choice::Send(id);
-            }
-            // Prevents: a job goes where there was room a while ago. Few jobs a dispatcher leave it without
-            // fresh news of anybody, so it asks the worker it is about to use.
-            if w.probe_out {
-                if now <= w.probe_at.max(self.m.awake) + patience {
-                    return Choice::Wait;
+        // Prevents: each of many instances takes what is full for about to be free, as no report shows a queue.
+        // Hence no followup there: what finds no room is held, and refused when it is too late to start.
+        // Prevents: a turn at a cold worker passes unused while warm ones, on old news, are sent more than they
+        // can start. Where instances have many turns each, list order finds them soon enough.
+        let thin = self.thin();
+        let turns = |&&id: &&WorkerId| thin && self.cold_age(now, self.w(id)).is_some();
+        let rest = walk.iter().filter(|id| !turns(id));
+        let order: Vec<WorkerId> = walk.iter().filter(turns).chain(rest).copied().collect();
+        for spare in if thin { &[SPARE, 0.0][..] } else { &[0.0] } {
+            for &id in &order {
+                let w = self.w(id);
+                // Prevents: when the fleet is full on the mean, workers nobody has heard of are never found free.
+                // Only where reports are younger than jobs: older ones show room that others have taken since.
+                let unknown = lively && now as f64 > w.report_at as f64 + FADES;
+                let spare = spare.min(self.slots_of(w, r) - r.slots).max(0.0);
+                let valid =
+                    self.starts_now(now, w, r) && (spare == 0.0 || self.room(now, w, r) >= spare - 0.3);
+                if !valid && !unknown || !self.able(now, id, r, allowed) {
+                    continue;
+                }
+                if w.report_at >= fresh || !asks {
+                    if valid {
+                        return Choice::Send(id);
+                    }
+                    continue;
+                }
+                // Prevents: a job goes where there was room a while ago. Few jobs a dispatcher leave it without
+                // fresh news of anybody, so it asks the worker it is about to use.
+                if w.probe_out {
+                    if now <= w.probe_at.max(self.m.awake) + patience {
+                        return Choice::Wait;
+                    }
+                    continue;
+                }
+                if r.probes < PROBES_FOR_ONE && self.probe_credit >= 1.0 {
+                    return Choice::Ask(id);
+                }
+                if valid {
+                    return Choice::Send(id);
                 }
-                continue;
-            }
-            if r.probes < PROBES_FOR_ONE && self.probe_credit >= 1.0 {
-                return Choice::Ask(id);
-            }
-            if valid {
-                return Choice::Send(id);
             }
         }
         let soon = |&&w: &&WorkerId| self.able(now, w, r, allowed) && self.starts_soon(now, self.w(w), r);
-        let default = tag.script.iter().filter(|_| followup && cross).find(soon);
+        let default = tag.script.iter().filter(|_| followup && cross && !thin).find(soon);
         default.map_or(Choice::Nobody, |&w| Choice::Send(w))
     }
 
@@ -563,7 +594,7 @@
         let Some(a) = r.attempts.get_mut(attempt).filter(|a| a.fate == Fate::Out) else { return };
         a.fate = if status.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let (class, slots, memory) = (r.class.0, r.slots, r.memory);
-        let (sent, overdue) = (a.sent, a.overdue);
+        let (sent, overdue, waited) = (a.sent, a.overdue, !a.started);
         let ran = if a.started { now - a.began } else { latency };
         if !overdue {
             self.free(now, worker, sent, slots, memory);
@@ -585,6 +616,9 @@
                 self.wm(worker).full_until = now + FULL_PAUSE;
             }
             Status::ConnectFailed | Status::Reset => self.suspect(now, worker, out),
+            Status::Cancelled if waited && now > sent.max(self.m.awake) + self.prompt() => {
+                self.blocked(now, worker);
+            }
             Status::Timeout | Status::Cancelled | Status::Moot => {}
         }
         if let Some(report) = report {
@@ -706,6 +740,18 @@
         self.watch(worker);
     }
 
+    /// Prevents: a worker shows free slots that the head of its queue does not fit into. Each of many instances
+    /// sends it jobs that wait behind that head, calls them off, and forgets what it has seen.
+    fn blocked(&mut self, now: Micros, worker: WorkerId) {
+        if !self.s.tells_start || !self.thin() {
+            return;
+        }
+        let w = &mut self.m.workers[worker.0 as usize];
+        let pause = FULL_PAUSE << w.late.min(LATE_DOUBLINGS);
+        w.late += 1;
+        w.full_until = w.full_until.max(now + self.rng.u64(pause * 3 / 4..=pause * 5 / 4));
+    }
+
     fn watch(&mut self, worker: WorkerId) {
         if !std::mem::replace(&mut self.wm(worker).watched, true) {
             self.m.watched.push(worker);
@@ -723,6 +769,7 @@
         let w = self.wm(worker);
         w.unstarted.retain(|&at| at != sent);
         if now <= sent + prompt {
+            w.late = 0;
             w.others = w.others.min(room.max(0.0));
         } else {
             w.others = w.others.max(room + slots);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -57,6 +57,8 @@
     pub(crate) report_at: Micros,
     pub(crate) report: Report,
     pub(crate) full_until: Micros,
+    /// Jobs in a row that it did not start at once, though it seemed to have room.
+    pub(crate) late: u32,
     pub(crate) heard: Micros,
     /// When a job of ours last told or ended there, and when a connection was last used.
     pub(crate) answered: Micros,
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -110,6 +110,9 @@
 
 impl Teller for BranchTeller {
     fn news(&self, news: News) {
+        if matches!(news, News::Started) {
+            debug!(branch = self.branch.0, "branch started");
+        }
         self.gate.tell(Event::News { branch: self.branch, news });
     }
 
