Large fleets: slow workers last by their reports, reports as they are, work before any

Change, only where instances outnumber workers: reports are believed as they are; before any, a worker that was asked is sent one job; health.rs holds how much workers end for what their cores are in use, and slow ones come last, at home only once crossing is worth it.

The tests fail on the former code or without their line.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -277,6 +277,10 @@
     pub free_slots: Option<f64>,
     /// Free memory.
     pub free_memory: Option<f64>,
+    /// Requests it serves each second.
+    pub rate: Option<f64>,
+    /// How busy its cores are: 0 to about 1.
+    pub busy: Option<f64>,
 }
 
 /// How an attempt or a probe ended.
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -5,10 +5,9 @@
 //! The mechanism is that of Allocation Priority Policies; each departure is named so where it stands.
 
 use crate::api::*;
+use crate::health::Health;
 use crate::state::*;
 
-/// Others' use of a worker is averaged over this time: one job's length would chase noise.
-const OTHERS_SMOOTHING: f64 = 1_000_000.0;
 /// Turns in a tipping window. It slides, so it meets one more: all those together hand out the budget.
 const COLD_TURNS: u64 = 2;
 /// What hinted jobs are granted on a cold worker at a time, in mean jobs of the heaviest class.
@@ -25,8 +24,7 @@
 const RETRIAL_MOST: Micros = 4_000_000;
 /// Silence, in mean running times, after which a worker with our work out is asked for a sign of life.
 const SILENCE: f64 = 3.0;
-/// Where instances outnumber workers, those come first that keep so many slots free beyond the job: others see
-/// the same old report, and some have sent there since.
+/// Where instances outnumber workers, those first that keep so many slots free: others see the same report.
 const SPARE: f64 = 1.0;
 /// Probes that one request pays for, and how many may be saved up.
 const PROBES_PER_REQUEST: f64 = 2.0;
@@ -76,23 +74,8 @@
     probe_credit: f64,
     /// Share of its slots that others use of the mean worker, a figure for each zone.
     mean_use: Vec<f64>,
-}
-
-/// The workers open to a class in the order it tries them; the first `home` are the home-zone block.
-#[derive(Default)]
-struct Tag {
-    script: Vec<WorkerId>,
-    home: usize,
-}
-
-struct ClassBelief {
-    run: f64,
-    /// How many have been served: until one has, `run` is a guess.
-    served: u32,
-    /// What the first of them took together.
-    first: f64,
-    /// The longest time left that a request of this class came with: a first try's.
-    most_left: Micros,
+    /// The mean worker that reports.
+    health: Health,
 }
 
 /// What the walk of the script found.
@@ -135,6 +118,7 @@
             probe_credit: PROBES_SAVED,
             probe_time: 10_000.0,
             mean_use: vec![0.5; settings.zones.max(1)],
+            health: Health::default(),
             s: settings,
             m: Memory::default(),
         })
@@ -290,24 +274,30 @@
     fn others_now(&self, now: Micros, w: &Worker, total: f64) -> f64 {
         // The turns leave a cold worker nearly empty. And prevents: where nobody reports, a guess that
         // nothing can correct keeps all work from workers that stand idle.
-        let blind = w.report_at == 0 && !self.asks();
+        let blind = w.report_at == 0 && (!self.asks() || self.unreported(w));
         let mean =
             if blind || self.cold_age(now, w).is_some() { 0.0 } else { total * self.mean_use[w.zone.0] };
         let age = now.saturating_sub(w.report_at) as f64;
         mean + (w.others - mean) * (-age / FADES).exp()
     }
 
+    /// Prevents: until the first reports come, all that a large fleet is handed is held and then refused.
+    fn unreported(&self, w: &Worker) -> bool {
+        self.thin() && self.kind_slots[w.kind.0] == 0.0
+    }
+
     fn asks(&self) -> bool {
         self.s.probes && self.s.report_via != ReportVia::None
     }
 
-    /// A named block's test: it would start now.
-    fn starts_now(&self, now: Micros, w: &Worker, r: &Request) -> bool {
+    /// A named block's test: it would start now, and leave so many slots free where the worker has as many.
+    fn starts_now(&self, now: Micros, w: &Worker, r: &Request, spare: f64) -> bool {
         // Prevents: a job too large for any worker's slots is never sent to those that take jobs one by one.
         if let Some(jobs) = w.jobs {
             return w.own_count < jobs as usize;
         }
-        !self.has_queue(now, w) && self.room(now, w, r) >= -0.3
+        let spare = spare.min(self.slots_of(w, r) - r.slots).max(0.0);
+        !self.has_queue(now, w) && self.room(now, w, r) >= spare - 0.3
     }
 
     /// A job of ours should have told of its start by now.
@@ -333,17 +323,12 @@
     fn cold_room(&self, now: Micros, w: &Worker, r: &Request) -> bool {
         let Some(age) = self.cold_age(now, w) else { return true };
         let warm = self.s.cold_from + (1.0 - self.s.cold_from) * age as f64 / self.s.cold_for as f64;
-        // Prevents: a job meets a worker so weak that it misses its aim there even if it starts at once. Where
-        // instances outnumber workers nobody else would use it either, and a job that finds it nearly empty is
-        // slowed only where the jobs there want more than it has.
+        // Prevents: a job meets a worker so weak that it misses its aim there even if it starts at once.
         let class = &self.s.classes[r.class.0];
-        let total = self.slots_of(w, r);
-        let wanted = if self.thin() { w.own + self.others_now(now, w, total) + r.slots } else { total };
-        let speed = (warm * total / wanted).min(1.0);
-        if speed * (class.stretch + class.aim as f64 / self.expected_run(r)) < COLD_MARGIN {
+        if warm * (class.stretch + class.aim as f64 / self.expected_run(r)) < COLD_MARGIN {
             return false;
         }
-        let budget = self.s.tip_multiple * warm * total * self.s.fall_window as f64;
+        let budget = self.s.tip_multiple * warm * self.slots_of(w, r) * self.s.fall_window as f64;
         // Prevents: heavy jobs count like light ones; and of jobs with hints there is always one small enough
         // for any instance's share. Hence one size of grant for all of those.
         let cost = self.cold_cost(w, r);
@@ -398,48 +383,48 @@
         let asks = self.asks();
         let lively = asks && self.m.report_period < LIVELY * self.mean_run;
         let fresh = now.saturating_sub((FRESH * self.mean_run) as Micros);
-        // Prevents: each of many instances takes what is full for about to be free, as no report shows a queue.
-        // Hence no followup there: what finds no room is held, and refused when it is too late to start.
-        // Prevents: a turn at a cold worker passes unused while warm ones, on old news, are sent more than they
-        // can start. Where instances have many turns each, list order finds them soon enough.
+        // Prevents: turns at cold workers pass unused while warm ones, on old news, are sent more than they
+        // can start; and a job crawls at home though it could cross. Few instances find both in list order.
         let thin = self.thin();
-        let turns = |&&id: &&WorkerId| thin && self.cold_age(now, self.w(id)).is_some();
-        let rest = walk.iter().filter(|id| !turns(id));
-        let order: Vec<WorkerId> = walk.iter().filter(turns).chain(rest).copied().collect();
-        for spare in if thin { &[SPARE, 0.0][..] } else { &[0.0] } {
-            for &id in &order {
-                let w = self.w(id);
-                // Prevents: when the fleet is full on the mean, workers nobody has heard of are never found free.
-                // Only where reports are younger than jobs: older ones show room that others have taken since.
-                let unknown = lively && now as f64 > w.report_at as f64 + FADES;
-                let spare = spare.min(self.slots_of(w, r) - r.slots).max(0.0);
-                let valid =
-                    self.starts_now(now, w, r) && (spare == 0.0 || self.room(now, w, r) >= spare - 0.3);
-                if !valid && !unknown || !self.able(now, id, r, allowed) {
-                    continue;
-                }
-                if w.report_at >= fresh || !asks {
-                    if valid {
-                        return Choice::Send(id);
-                    }
-                    continue;
-                }
-                // Prevents: a job goes where there was room a while ago. Few jobs a dispatcher leave it without
-                // fresh news of anybody, so it asks the worker it is about to use.
-                if w.probe_out {
-                    if now <= w.probe_at.max(self.m.awake) + patience {
-                        return Choice::Wait;
-                    }
-                    continue;
-                }
-                if r.probes < PROBES_FOR_ONE && self.probe_credit >= 1.0 {
-                    return Choice::Ask(id);
-                }
-                if valid {
-                    return Choice::Send(id);
+        let mut order = walk.to_vec();
+        if thin {
+            order.retain(|&id| cross || !self.w(id).health.slow(&self.health));
+            order.sort_by_key(|&id| match self.cold_age(now, self.w(id)) {
+                Some(_) => 0,
+                None => 1 + u8::from(self.w(id).health.slow(&self.health)),
+            });
+        }
+        let spares = if thin { &[SPARE, 0.0][..] } else { &[0.0] };
+        for (&spare, &id) in spares.iter().flat_map(|s| order.iter().map(move |id| (s, id))) {
+            let w = self.w(id);
+            // Prevents: when the fleet is full on the mean, workers nobody has heard of are never found free.
+            // Only where reports are younger than jobs: older ones show room that others have taken since.
+            let unknown = lively && now as f64 > w.report_at as f64 + FADES;
+            let valid = self.starts_now(now, w, r, spare);
+            if !valid && !unknown || !self.able(now, id, r, allowed) {
+                continue;
+            }
+            let asked = self.unreported(w) && w.probe_at >= fresh && !w.probe_out;
+            if valid && (w.report_at >= fresh || !asks || asked) {
+                return Choice::Send(id);
+            }
+            // Prevents: a job goes where there was room a while ago. Few jobs a dispatcher leave it without
+            // fresh news of anybody, so it asks the worker it is about to use.
+            if w.probe_out {
+                if now <= w.probe_at.max(self.m.awake) + patience {
+                    return Choice::Wait;
                 }
+                continue;
+            }
+            if r.probes < PROBES_FOR_ONE && self.probe_credit >= 1.0 {
+                return Choice::Ask(id);
+            }
+            if valid {
+                return Choice::Send(id);
             }
         }
+        // Prevents: each of many instances takes what is full for soon to be free, as no report shows queues.
+        // No followup there: what finds no room is held, and refused when it is too late to start.
         let soon = |&&w: &&WorkerId| self.able(now, w, r, allowed) && self.starts_soon(now, self.w(w), r);
         let default = tag.script.iter().filter(|_| followup && cross && !thin).find(soon);
         default.map_or(Choice::Nobody, |&w| Choice::Send(w))
@@ -740,8 +725,8 @@
         self.watch(worker);
     }
 
-    /// Prevents: a worker shows free slots that the head of its queue does not fit into. Each of many instances
-    /// sends it jobs that wait behind that head, calls them off, and forgets what it has seen.
+    /// Prevents: a worker shows free slots that the head of its queue does not fit into. Each of many
+    /// instances sends it jobs that wait behind that head, calls them off, and forgets what it has seen.
     fn blocked(&mut self, now: Micros, worker: WorkerId) {
         if !self.s.tells_start || !self.thin() {
             return;
@@ -780,6 +765,7 @@
         let mean_slots = self.mean_slots;
         let trust = (-self.m.report_period / (REPORT_LIVES * self.mean_run)).exp();
         let cold = self.cold_age(now, self.w(worker)).is_some();
+        let thin = self.thin();
         let w = &mut self.m.workers[worker.0 as usize];
         let slots = &mut self.kind_slots[w.kind.0];
         let known = *slots > 0.0;
@@ -791,7 +777,9 @@
             _ => {}
         }
         let slots = *slots;
-        // A report that comes again unchanged has not been refreshed since.
+        w.health.note(&report, now - w.report_at, &mut self.health);
+        // A report whose slots come again unchanged has not been refreshed since.
+        let report = Report { rate: None, busy: None, ..report };
         let apart = now.saturating_sub(w.report_at) as f64;
         if w.report == report && 2.0 * apart > self.m.report_period {
             self.m.report_period += 0.5 * (2.0 * apart - self.m.report_period);
@@ -810,11 +798,13 @@
             let mean_use = &mut self.mean_use[w.zone.0];
             *mean_use += 0.05 * ((seen / slots.max(1.0)).min(2.0) - *mean_use);
             // Prevents: what a report showed before others took it is counted as room. What is as old as a
-            // job tells of little but the mean.
-            let believed = match cold {
+            // job tells of little but the mean. Not where instances outnumber workers: there a job that takes
+            // a whole worker would never find one, and slots to spare make up for what has changed.
+            let believed = match cold || thin {
                 true => seen,
                 false => *mean_use * slots + trust * (seen - *mean_use * slots),
             };
+            let weight = if thin { 1.0 } else { weight };
             w.others += weight * (believed - w.others);
         }
         if let Some(free) = report.free_memory {
@@ -1056,12 +1046,3 @@
 fn gcd(a: usize, b: usize) -> usize {
     if b == 0 { a } else { gcd(b, a % b) }
 }
-
-impl Worker {
-    /// Brings the average of our own slots up to now.
-    fn note_own(&mut self, now: Micros) {
-        let weight = 1.0 - (-(now.saturating_sub(self.own_at) as f64) / OTHERS_SMOOTHING).exp();
-        self.own_average += weight * (self.own - self.own_average);
-        self.own_at = now;
-    }
-}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -102,6 +102,7 @@
 
 pub mod api;
 mod balance;
+mod health;
 pub mod settings;
 mod state;
 
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -224,6 +224,8 @@
                 "waiting" | "queue" => report.waiting = Some(value),
                 "x0" => report.free_slots = Some(value),
                 "x1" => report.free_memory = Some(value),
+                "rps" | "qps" => report.rate = Some(value),
+                "cpu" | "util" => report.busy = Some(value),
                 _ => {}
             }
         }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,6 +1,7 @@
-//! The records that `balance.rs` keeps: plain data, no decision.
+//! The records that `balance.rs` keeps: plain data and averages, no decision.
 
 use crate::api::*;
+use crate::health::Health;
 use std::collections::BTreeMap;
 
 /// What a balancer remembers; all of it starts empty.
@@ -31,6 +32,23 @@
     pub(crate) waiting_start: bool,
 }
 
+/// The workers open to a class in the order it tries them; the first `home` are the home-zone block.
+#[derive(Default)]
+pub(crate) struct Tag {
+    pub(crate) script: Vec<WorkerId>,
+    pub(crate) home: usize,
+}
+
+pub(crate) struct ClassBelief {
+    pub(crate) run: f64,
+    /// How many have been served: until one has, `run` is a guess.
+    pub(crate) served: u32,
+    /// What the first of them took together.
+    pub(crate) first: f64,
+    /// The longest time left that a request of this class came with: a first try's.
+    pub(crate) most_left: Micros,
+}
+
 /// What is known of one worker.
 #[derive(Default)]
 pub(crate) struct Worker {
@@ -56,6 +74,8 @@
     pub(crate) others_memory: f64,
     pub(crate) report_at: Micros,
     pub(crate) report: Report,
+    /// What it ends for what it is in use.
+    pub(crate) health: Health,
     pub(crate) full_until: Micros,
     /// Jobs in a row that it did not start at once, though it seemed to have room.
     pub(crate) late: u32,
@@ -82,6 +102,9 @@
     pub(crate) unstarted: Vec<Micros>,
 }
 
+/// Others' use of a worker is averaged over this time: one job's length would chase noise.
+pub(crate) const OTHERS_SMOOTHING: f64 = 1_000_000.0;
+
 /// One request until it is over.
 pub(crate) struct Request {
     pub(crate) class: ClassId,
@@ -120,3 +143,12 @@
     NeverRan,
     MayHaveRun,
 }
+
+impl Worker {
+    /// Brings the average of our own slots up to now.
+    pub(crate) fn note_own(&mut self, now: Micros) {
+        let weight = 1.0 - (-(now.saturating_sub(self.own_at) as f64) / OTHERS_SMOOTHING).exp();
+        self.own_average += weight * (self.own - self.own_average);
+        self.own_at = now;
+    }
+}
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -72,16 +72,75 @@
     assert!(closed[0] >= 750 * MS && closed[1] >= 1_500 * MS && closed[1] <= 2_600 * MS, "{closed:?}");
 }
 
-// Guards against workers back cold that stand idle because a job there is believed to crawl even alone.
+// Guards against turns at cold workers that pass unused while warm ones are sent more than they can start.
 #[test]
-fn a_nearly_empty_cold_worker_takes_a_job_that_it_runs_in_time() {
-    let cold = || Entry { ready_at: START - 500 * MS, ..entry(0, 0) };
-    let any = |instances: usize| {
-        (0..instances).any(|me| {
+fn an_instance_whose_turn_it_is_goes_to_the_cold_worker_first() {
+    let cold = || Entry { ready_at: START - 6_000 * MS, ..entry(1, 0) };
+    let to_cold = |instances: usize| {
+        let first = |me| {
             let s = Settings { me, ..thin(Effect::Safe, instances) };
-            Bench::new(s, &[cold()], 4.0).spread(1) == [Some(0)]
-        })
+            Bench::new(s, &[entry(0, 0), cold()], 4.0).spread(1) == [Some(1)]
+        };
+        (0..instances).filter(|&me| first(me)).count()
     };
-    assert!(!any(1), "one instance keeps to warmer ones");
-    assert!(any(20), "of many, those whose turn it is use it");
+    assert!(to_cold(1) == 0 && to_cold(20) >= 5, "{} {}", to_cold(1), to_cold(20));
+}
+
+// Guards against a large fleet that refuses all it is handed until the first reports come.
+#[test]
+fn before_any_report_has_come_an_idle_worker_is_asked_once_and_sent_the_job() {
+    let play = |instances| {
+        let mut t = Bench::new(thin(Effect::Safe, instances), &[], 4.0);
+        t.event(Event::List { kind: ListKind::Whole, entries: &[entry(0, 0)] });
+        let job = Incoming {
+            request: RequestId(0),
+            class: ClassId(0),
+            left: 5_000 * MS,
+            slots: 1.0,
+            memory: 0.0,
+            work: None,
+        };
+        let asked = t.event(Event::Request(job));
+        assert!(instances == 1 || asked.contains(&Action::Probe { worker: WorkerId(0) }), "{asked:?}");
+        let (worker, status) = (WorkerId(0), Status::Ok);
+        sent(&t.event(Event::Probed(Probed { worker, status, latency: MS, report: None })))
+    };
+    assert_eq!((play(1), play(20)), (None, Some(0)));
+}
+
+// Guards against a job that takes a whole worker and finds none empty, as each is believed a little like the mean.
+#[test]
+fn a_job_that_takes_a_whole_worker_goes_to_one_that_reports_itself_empty() {
+    let play = |instances| {
+        let workers = [entry(0, 0), entry(1, 0)];
+        let mut t = Bench::new(thin(Effect::Safe, instances), &workers, 4.0);
+        for n in 0..60 {
+            t.now += 100 * MS;
+            t.report(0, f64::from(n / 8 % 2));
+        }
+        t.report(1, 4.0);
+        t.free = 1.0;
+        let at_once = t.ask(0, 4.0).1;
+        sent(&at_once)
+    };
+    assert!(play(1) != Some(1) && play(20) == Some(1));
+}
+
+// Guards against each of many instances sending a crawling worker jobs until it has found out by its own.
+#[test]
+fn a_worker_that_ends_little_for_its_use_comes_last_in_a_large_fleet() {
+    let play = |instances| {
+        let mut t = Bench::new(thin(Effect::Safe, instances), &[entry(0, 0), entry(1, 0)], 4.0);
+        for _ in 0..10 {
+            t.now += 500 * MS;
+            for (worker, rate) in [(0, 0.1), (1, 1.9)] {
+                let report =
+                    Report { free_slots: Some(2.0), rate: Some(rate), busy: Some(0.9), ..Report::default() };
+                let (worker, status, latency) = (WorkerId(worker), Status::Ok, MS);
+                t.event(Event::Probed(Probed { worker, status, latency, report: Some(report) }));
+            }
+        }
+        t.spread(1)
+    };
+    assert_eq!((play(1), play(20)), (vec![Some(0)], vec![Some(1)]));
 }
