Large fleets: a home zone in which all is silent is left at once

Change: health::dark, without I/O: two listed workers of a zone failed a probe and none there was heard since. Where instances outnumber workers, the home zone then comes last and crossing is open at once. One sign of life undoes it.

The test fails without the line.

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -5,7 +5,7 @@
 //! The mechanism is that of Allocation Priority Policies; each departure is named so where it stands.
 
 use crate::api::*;
-use crate::health::Health;
+use crate::health::{Health, dark};
 use crate::state::*;
 
 /// Turns in a tipping window. It slides, so it meets one more: all those together hand out the budget.
@@ -376,7 +376,10 @@
     fn choose(&self, now: Micros, r: &Request, allowed: &Allowed, followup: bool) -> Choice {
         // Prevents: a job pays for a crossing just before home frees a slot.
         let aim = self.s.classes[r.class.0].aim as f64;
-        let cross = now as f64 >= r.start as f64 + aim * self.s.prices.cross_zone.min(0.5);
+        let thin = self.thin();
+        // Prevents: all attempts of a job go to workers of a lost home zone, one after the other.
+        let dark = thin && self.s.my_zone.is_some_and(|zone| dark(&self.m.workers, zone));
+        let cross = dark || now as f64 >= r.start as f64 + aim * self.s.prices.cross_zone.min(0.5);
         let tag = &self.tags[r.class.0];
         let walk = if cross { &tag.script[..] } else { &tag.script[..tag.home] };
         let patience = self.prompt();
@@ -385,13 +388,13 @@
         let fresh = now.saturating_sub((FRESH * self.mean_run) as Micros);
         // Prevents: turns at cold workers pass unused while warm ones, on old news, are sent more than they
         // can start; and a job crawls at home though it could cross. Few instances find both in list order.
-        let thin = self.thin();
         let mut order = walk.to_vec();
         if thin {
             order.retain(|&id| cross || !self.w(id).health.slow(&self.health));
-            order.sort_by_key(|&id| match self.cold_age(now, self.w(id)) {
-                Some(_) => 0,
-                None => 1 + u8::from(self.w(id).health.slow(&self.health)),
+            order.sort_by_key(|&id| match (self.w(id), self.cold_age(now, self.w(id))) {
+                (w, _) if dark && Some(w.zone) == self.s.my_zone => 3,
+                (_, Some(_)) => 0,
+                (w, None) => 1 + u8::from(w.health.slow(&self.health)),
             });
         }
         let spares = if thin { &[SPARE, 0.0][..] } else { &[0.0] };
--- a/crates/decisions/src/health.rs
+++ b/crates/decisions/src/health.rs
@@ -1,6 +1,7 @@
-//! How much workers end for what their cores are in use, as their reports tell: arithmetic, no decision.
+//! How workers and zones fare, worked out from reports and from what was heard: arithmetic, no decision.
 
-use crate::api::{Micros, Report};
+use crate::api::{Micros, Report, ZoneId};
+use crate::state::Worker;
 
 /// The reports of a worker are averaged over this time (µs); those of all by this step.
 const SMOOTHING: f64 = 2_000_000.0;
@@ -37,6 +38,16 @@
     }
 }
 
+/// So many workers of a zone that do not answer, and none that has since, tell of the zone.
+const SILENT: usize = 2;
+
+/// Whether a whole zone seems lost.
+pub(crate) fn dark(workers: &[Worker], zone: ZoneId) -> bool {
+    let here = || workers.iter().filter(|w| w.listed && w.zone == zone);
+    let heard = here().map(|w| w.heard).max().unwrap_or(0);
+    here().filter(|w| w.bad_until.is_some() && w.down_at > heard).count() >= SILENT
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -144,3 +144,26 @@
     };
     assert_eq!((play(1), play(20)), (vec![Some(0)], vec![Some(1)]));
 }
+
+// Guards against all attempts of a job going to workers of a lost home zone, each after a connection that never comes up.
+#[test]
+fn a_home_zone_in_which_two_workers_are_silent_and_none_answers_is_left_at_once() {
+    let play = |instances, heard_since| {
+        let workers = [entry(0, 0), entry(1, 0), entry(2, 0), entry(3, 1)];
+        let mut t = Bench::new(thin(Effect::Safe, instances), &workers, 4.0);
+        t.pass(500 * MS, &[0, 1, 2, 3]);
+        for worker in [0, 1] {
+            let (worker, status, latency) = (WorkerId(worker), Status::Timeout, 500 * MS);
+            t.event(Event::Probed(Probed { worker, status, latency, report: None }));
+        }
+        if heard_since {
+            t.now += MS;
+            t.report(2, 4.0);
+        }
+        t.report(3, 4.0);
+        t.spread(1)
+    };
+    assert_eq!(play(20, false), [Some(3)], "the third worker there is not tried");
+    assert_eq!(play(20, true), [Some(2)], "one that answers shows that the zone is there");
+    assert_eq!(play(1, false), [Some(2)]);
+}
