Core: the effect that asked for a watch is gone, as discovery keeps its own pace

Need: since calls to discovery have a pace of their own, Effect::Watch did nothing in the shell.

Change: the reducer takes Action::Subscribe and asks for nothing.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -279,8 +279,6 @@
         /// The next hop.
         hop: WorkerId,
     },
-    /// See that the route set is being watched.
-    Watch,
     /// Watch the discovery service at this address, and no other once it has been heard there.
     WatchAt {
         /// Where it is.
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -231,7 +231,8 @@
                 }
             }
             Action::Disconnect { worker } => out.push(Effect::Disconnect { hop: worker }),
-            Action::Subscribe => out.push(Effect::Watch),
+            // It is watched from the first configuration on, at a pace of its own.
+            Action::Subscribe => {}
             Action::Wake { after } => {
                 if let Some(at) = self.wake_at.take() {
                     self.timers.remove(&(at, Timer::Wake));
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -330,8 +330,6 @@
                 });
             }
             Effect::Disconnect { hop } => drop(self.hops.remove(&hop)),
-            // It is watched from the first configuration on, at a pace of its own.
-            Effect::Watch => {}
             Effect::WatchAt { address, index } => {
                 let watch = Watch::start(address, self.conf.clone(), index);
                 match self.watch {
