Decisions: twins of the fleet work made one, and no list copied for small fleets

Need: read once more, the change computed a report's age twice in two ways, once without saturating; had the weight of a new figure in a mean three times; copied the walk for each choice of a small fleet, which changes nothing of it; asked whether a large fleet's worker is slow anew at each comparison of a sort; and refresh had the words of asks() again.

Change: catch_up in health.rs serves all three means; the walk is borrowed unless a large fleet reorders it; keys of the order are worked out once; refresh calls asks().

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -5,8 +5,9 @@
 //! The mechanism is that of Allocation Priority Policies; each departure is named so where it stands.
 
 use crate::api::*;
-use crate::health::{Health, dark};
+use crate::health::{Health, catch_up, dark};
 use crate::state::*;
+use std::borrow::Cow;
 
 /// Turns in a tipping window. It slides, so it meets one more: all those together hand out the budget.
 const COLD_TURNS: u64 = 2;
@@ -388,10 +389,11 @@
         let fresh = now.saturating_sub((FRESH * self.mean_run) as Micros);
         // Prevents: turns at cold workers pass unused while warm ones, on old news, are sent more than they
         // can start; and a job crawls at home though it could cross. Few instances find both in list order.
-        let mut order = walk.to_vec();
+        let mut order = Cow::Borrowed(walk);
         if thin {
+            let order = order.to_mut();
             order.retain(|&id| cross || !self.w(id).health.slow(&self.health));
-            order.sort_by_key(|&id| match (self.w(id), self.cold_age(now, self.w(id))) {
+            order.sort_by_cached_key(|&id| match (self.w(id), self.cold_age(now, self.w(id))) {
                 (w, _) if dark && Some(w.zone) == self.s.my_zone => 3,
                 (_, Some(_)) => 0,
                 (w, None) => 1 + u8::from(w.health.slow(&self.health)),
@@ -780,10 +782,10 @@
             _ => {}
         }
         let slots = *slots;
-        w.health.note(&report, now - w.report_at, &mut self.health);
+        let apart = now.saturating_sub(w.report_at) as f64;
+        w.health.note(&report, apart, &mut self.health);
         // A report whose slots come again unchanged has not been refreshed since.
         let report = Report { rate: None, busy: None, ..report };
-        let apart = now.saturating_sub(w.report_at) as f64;
         if w.report == report && 2.0 * apart > self.m.report_period {
             self.m.report_period += 0.5 * (2.0 * apart - self.m.report_period);
         } else if w.report != report && apart < self.m.report_period {
@@ -791,7 +793,7 @@
         }
         w.report = report;
         w.note_own(now);
-        let weight = 1.0 - (-(now.saturating_sub(w.report_at) as f64) / OTHERS_SMOOTHING).exp();
+        let weight = catch_up(apart, OTHERS_SMOOTHING);
         w.report_at = now;
         if let Some(free) = report.free_slots {
             // Prevents: free slots stop at 0, so a deep queue looks like a full worker about to be free.
@@ -960,7 +962,7 @@
     fn refresh(&mut self, now: Micros, out: &mut Vec<Action>) {
         let n = self.tags.first().map_or(0, |t| t.script.len());
         let each = (self.gap * n as f64).max(500_000.0) as Micros;
-        if !self.s.probes || self.s.report_via == ReportVia::None || self.s.instances > n {
+        if !self.asks() || self.s.instances > n {
             return;
         }
         for _ in 0..n.min(REFRESHED_A_TICK) {
--- a/crates/decisions/src/health.rs
+++ b/crates/decisions/src/health.rs
@@ -1,6 +1,6 @@
 //! How workers and zones fare, worked out from reports and from what was heard: arithmetic, no decision.
 
-use crate::api::{Micros, Report, ZoneId};
+use crate::api::{Report, ZoneId};
 use crate::state::Worker;
 
 /// The reports of a worker are averaged over this time (µs); those of all by this step.
@@ -12,6 +12,11 @@
 /// as long or longer, or its cores are taken by others.
 const SLOW: f64 = 0.4;
 
+/// Weight of a new figure, so long (µs) after the one before, in a mean over this time (µs).
+pub(crate) fn catch_up(apart: f64, over: f64) -> f64 {
+    1.0 - (-apart / over).exp()
+}
+
 /// Jobs ended a second, and the share of the cores in use, on the mean.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Health {
@@ -21,9 +26,9 @@
 
 impl Health {
     /// Takes a report of one worker in, so long (µs) after the one before; `all` is the mean over workers.
-    pub(crate) fn note(&mut self, report: &Report, apart: Micros, all: &mut Health) {
+    pub(crate) fn note(&mut self, report: &Report, apart: f64, all: &mut Health) {
         let (Some(rate), Some(busy)) = (report.rate, report.busy) else { return };
-        self.step(rate, busy, 1.0 - (-(apart as f64) / SMOOTHING).exp());
+        self.step(rate, busy, catch_up(apart, SMOOTHING));
         all.step(rate, busy, STEP);
     }
 
@@ -57,17 +62,17 @@
     fn one_report_tells_a_worker_that_is_in_use_and_ends_little() {
         let report = |rate, busy| Report { rate: Some(rate), busy: Some(busy), ..Report::default() };
         let (mut all, mut normal) = (Health::default(), Health::default());
-        (0..40).for_each(|_| normal.note(&report(1.9, 0.9), 500_000, &mut all));
+        (0..40).for_each(|_| normal.note(&report(1.9, 0.9), 500_000.0, &mut all));
         let after_one = |rate, busy| {
             let mut worker = Health::default();
-            worker.note(&report(rate, busy), Micros::MAX, &mut all.clone());
+            worker.note(&report(rate, busy), f64::MAX, &mut all.clone());
             worker.slow(&all)
         };
         assert!(after_one(0.2, 0.9) && !after_one(1.2, 0.9), "slow by its pace");
         assert!(!after_one(0.0, 0.1), "idle");
         assert!(!normal.slow(&all));
         let mut silent = Health::default();
-        silent.note(&Report::default(), 1, &mut all);
+        silent.note(&Report::default(), 1.0, &mut all);
         assert!(!silent.slow(&all) && !silent.slow(&Health::default()));
     }
 }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,7 +1,7 @@
 //! The records that `balance.rs` keeps: plain data and averages, no decision.
 
 use crate::api::*;
-use crate::health::Health;
+use crate::health::{Health, catch_up};
 use std::collections::BTreeMap;
 
 /// What a balancer remembers; all of it starts empty.
@@ -147,7 +147,7 @@
 impl Worker {
     /// Brings the average of our own slots up to now.
     pub(crate) fn note_own(&mut self, now: Micros) {
-        let weight = 1.0 - (-(now.saturating_sub(self.own_at) as f64) / OTHERS_SMOOTHING).exp();
+        let weight = catch_up(now.saturating_sub(self.own_at) as f64, OTHERS_SMOOTHING);
         self.own_average += weight * (self.own - self.own_average);
         self.own_at = now;
     }
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -98,22 +98,28 @@
 
     pub fn report(&mut self, worker: u32, free: f64) -> Vec<Action> {
         let report = Some(Report { free_slots: Some(free), free_memory: Some(free), ..Report::default() });
-        self.event(Event::Probed(Probed {
-            worker: WorkerId(worker),
-            status: Status::Ok,
-            report,
-            latency: MS,
-        }))
+        self.probed(worker, Status::Ok, report)
     }
 
-    pub fn ask(&mut self, class: usize, slots: f64) -> (RequestId, Vec<Action>) {
+    /// A probe has ended so, a millisecond after it was sent.
+    pub fn probed(&mut self, worker: u32, status: Status, report: Option<Report>) -> Vec<Action> {
+        let (worker, latency) = (WorkerId(worker), MS);
+        self.event(Event::Probed(Probed { worker, status, latency, report }))
+    }
+
+    /// A request comes, and nobody answers the probes it asks for.
+    pub fn arrives(&mut self, class: usize, slots: f64) -> (RequestId, Vec<Action>) {
         let request = RequestId(self.next);
         self.next += 1;
         self.classes.push(class);
         self.hints.push(self.hint);
         let left = 5_000 * MS;
         let job = Incoming { request, class: ClassId(class), left, slots, memory: 0.0, work: self.hint };
-        let mut all = self.event(Event::Request(job));
+        (request, self.event(Event::Request(job)))
+    }
+
+    pub fn ask(&mut self, class: usize, slots: f64) -> (RequestId, Vec<Action>) {
+        let (request, mut all) = self.arrives(class, slots);
         let mut at = 0;
         while at < all.len() {
             if let Action::Probe { worker } = all[at] {
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -8,15 +8,20 @@
     Settings { instances, tells_start: true, ..settings(effect) }
 }
 
+/// Lets a worker report so for 6 s.
+fn reports(t: &mut Bench, worker: u32, free: fn(u32) -> f64) {
+    for n in 0..60 {
+        t.now += 100 * MS;
+        t.report(worker, free(n));
+    }
+}
+
 // Guards against each of many instances queueing jobs on a full worker, whose reports do not show the queue.
 #[test]
 fn what_finds_no_room_is_held_and_not_queued_on_a_full_worker_of_a_large_fleet() {
     let play = |instances| {
         let mut t = Bench::new(thin(Effect::Unsafe, instances), &[entry(0, 0)], 4.0);
-        (0..60).for_each(|_| {
-            t.now += 100 * MS;
-            t.report(0, 0.0);
-        });
+        reports(&mut t, 0, |_| 0.0);
         t.free = 0.0;
         let (request, mut out) = t.ask(0, 1.0);
         out.extend(t.pass(1_000 * MS, &[0]));
@@ -31,10 +36,7 @@
 fn workers_with_room_to_spare_come_first_in_a_large_fleet() {
     let play = |instances| {
         let mut t = Bench::new(thin(Effect::Safe, instances), &[entry(0, 0), entry(1, 0)], 4.0);
-        (0..60).for_each(|_| {
-            t.now += 100 * MS;
-            t.report(0, 1.0);
-        });
+        reports(&mut t, 0, |_| 1.0);
         t.report(1, 4.0);
         t.spread(1)
     };
@@ -92,18 +94,9 @@
     let play = |instances| {
         let mut t = Bench::new(thin(Effect::Safe, instances), &[], 4.0);
         t.event(Event::List { kind: ListKind::Whole, entries: &[entry(0, 0)] });
-        let job = Incoming {
-            request: RequestId(0),
-            class: ClassId(0),
-            left: 5_000 * MS,
-            slots: 1.0,
-            memory: 0.0,
-            work: None,
-        };
-        let asked = t.event(Event::Request(job));
+        let (_, asked) = t.arrives(0, 1.0);
         assert!(instances == 1 || asked.contains(&Action::Probe { worker: WorkerId(0) }), "{asked:?}");
-        let (worker, status) = (WorkerId(0), Status::Ok);
-        sent(&t.event(Event::Probed(Probed { worker, status, latency: MS, report: None })))
+        sent(&t.probed(0, Status::Ok, None))
     };
     assert_eq!((play(1), play(20)), (None, Some(0)));
 }
@@ -114,14 +107,10 @@
     let play = |instances| {
         let workers = [entry(0, 0), entry(1, 0)];
         let mut t = Bench::new(thin(Effect::Safe, instances), &workers, 4.0);
-        for n in 0..60 {
-            t.now += 100 * MS;
-            t.report(0, f64::from(n / 8 % 2));
-        }
+        reports(&mut t, 0, |n| f64::from(n / 8 % 2));
         t.report(1, 4.0);
         t.free = 1.0;
-        let at_once = t.ask(0, 4.0).1;
-        sent(&at_once)
+        sent(&t.ask(0, 4.0).1)
     };
     assert!(play(1) != Some(1) && play(20) == Some(1));
 }
@@ -136,8 +125,7 @@
             for (worker, rate) in [(0, 0.1), (1, 1.9)] {
                 let report =
                     Report { free_slots: Some(2.0), rate: Some(rate), busy: Some(0.9), ..Report::default() };
-                let (worker, status, latency) = (WorkerId(worker), Status::Ok, MS);
-                t.event(Event::Probed(Probed { worker, status, latency, report: Some(report) }));
+                t.probed(worker, Status::Ok, Some(report));
             }
         }
         t.spread(1)
@@ -153,8 +141,7 @@
         let mut t = Bench::new(thin(Effect::Safe, instances), &workers, 4.0);
         t.pass(500 * MS, &[0, 1, 2, 3]);
         for worker in [0, 1] {
-            let (worker, status, latency) = (WorkerId(worker), Status::Timeout, 500 * MS);
-            t.event(Event::Probed(Probed { worker, status, latency, report: None }));
+            t.probed(worker, Status::Timeout, None);
         }
         if heard_since {
             t.now += MS;
