Decisions: jobs about the same go to the same workers, so that few fetches jam the store

Played with every branch logged: from 8 s on the workers' slots are full while their cores idle. Counted over all 294 dispatchers, from 0-2 s to 18-20 s: rate-push from its start to its end 0.65 s -> 3.68 s (median), imports 1.99 s -> 4.69 s, reports `free_slots: Some(0.0)` 0 -> 79 in 100 probes, `busy` 0.62 (5 s) -> 0.39, branches out 139 -> 1,096. So jobs hold their slots for something that is no work: what they are about, which is fetched from the one central store. At fault: nothing carried what a job is about to the decisions (`Incoming` had no key), and `walk_from_own_place` gave each of 294 instances an order of its own, so every worker was sent every key.

Where instances outnumber workers, each block is walked in an order that the key and the workers' ids give, the same at every instance. Test: jobs_about_the_same_..., seen to fail with the order of the instance.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -116,6 +116,7 @@
                     slots: e.slots.unwrap_or(1.0),
                     memory: e.mem_needed.unwrap_or(0.0),
                     work: e.expected_us,
+                    key: e.path_key,
                 });
                 self.balancer.handle(now, event, out);
             }
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -100,6 +100,7 @@
     pub mem_needed: Option<f64>,
     pub slots: Option<f64>,
     pub expected_us: Option<u64>,
+    pub path_key: Option<u64>,
 }
 
 #[derive(Deserialize)]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,15 @@
     pub body: Bytes,
 }
 
+impl Job {
+    /// What it is about, as a number: the last part of a path that has more than the class.
+    pub fn key(&self) -> Option<u64> {
+        let path = self.path.split('?').next().unwrap_or_default().trim_matches('/');
+        let (_, key) = path.rsplit_once('/')?;
+        Some(key.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)))
+    }
+}
+
 /// A transaction as a front hands it in.
 #[derive(Clone, Debug)]
 pub struct Transaction {
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -331,7 +331,7 @@
             let answer = Answer::Rejected(Rejection::IdInUse);
             return out.push(Effect::Answer { ticket, answer });
         }
-        let request = RequestId(self.next_id());
+        let (request, key) = (RequestId(self.next_id()), t.job.key());
         if let Some(identity) = &t.identity {
             self.kept.begin(identity.clone(), request);
         }
@@ -363,6 +363,7 @@
             slots: t.slots,
             memory: t.memory,
             work: None,
+            key,
         }));
     }
 
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -216,3 +216,12 @@
     let done = stage.tell(Event::Ended { branch, ending: Ending::Served("x".into()), report: None });
     assert!(done.contains(&Effect::Exit), "{done:?}");
 }
+
+// Guards against jobs about the same that are not seen to be: the key is the last part of a path that has one.
+#[test]
+fn the_last_part_of_a_path_is_what_a_job_is_about() {
+    let key = |path: &str| Job { id: "a".into(), path: path.into(), body: Bytes::new() }.key();
+    assert_eq!((key("/rate-push"), key("/rate-push/"), key("/")), (None, None, None));
+    assert_eq!(key("/rate-push/7f3a"), key("/booking-import/7f3a?x=1"));
+    assert!(key("/rate-push/7f3a").is_some() && key("/rate-push/7f3a") != key("/rate-push/7f3b"));
+}
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -335,6 +335,8 @@
     pub memory: f64,
     /// Hint of its work, as time on a standard core.
     pub work: Option<Micros>,
+    /// What it is about, where that is known: a worker that has just done the like is quicker.
+    pub key: Option<u64>,
 }
 
 /// How an attempt ended.
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -6,6 +6,7 @@
 
 use crate::api::*;
 use crate::health::{Health, catch_up, dark};
+use crate::order::{gcd, mix};
 use crate::state::*;
 use std::borrow::Cow;
 
@@ -192,14 +193,15 @@
                     .collect();
                 let mut tag = Tag::default();
                 for at_home in [true, false] {
-                    for wanted in 0..=2 {
+                    for wanted in 0..=2u8 {
                         let here = |w: &Worker| {
                             (Some(w.zone) == self.s.my_zone) == at_home
                                 && label[w.kind.0] == wanted
                                 && class.open_to(w.zone, w.kind)
                         };
                         let ids: Vec<_> = listed.iter().copied().filter(|&w| here(self.w(w))).collect();
-                        self.walk_from_own_place(&ids, &mut tag.script);
+                        let block = wanted + 3 * u8::from(!at_home);
+                        tag.script.extend(self.walk_from_own_place(&ids).map(|w| (block, w)));
                     }
                     if at_home {
                         tag.home = tag.script.len();
@@ -213,7 +215,7 @@
     /// Departure: instances share one id order and would all pile on the head of each label, so each starts
     /// at its own place. What leaves one full worker would then all go to the same next one: where instances
     /// share heads, each goes on in steps of its own, which meet every worker once.
-    fn walk_from_own_place(&self, ids: &[WorkerId], script: &mut Vec<WorkerId>) {
+    fn walk_from_own_place(&self, ids: &[WorkerId]) -> impl Iterator<Item = WorkerId> {
         let n = ids.len();
         let start = n * self.s.me / self.s.instances;
         let mut step = 1;
@@ -223,7 +225,7 @@
                 step -= 1;
             }
         }
-        script.extend((0..n).map(|i| ids[(start + i * step) % n]));
+        (0..n).map(move |i| ids[(start + i * step) % n])
     }
 
     // ---- Validity.
@@ -342,8 +344,8 @@
         }
         let turn = self.cold_turn(age);
         // Spread evenly over instances however their numbers are dealt to zones.
-        let mix = (w.salt ^ turn).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11;
-        let place = (self.s.me as f64 * 0.618_033_988_75 + mix as f64 / (1u64 << 53) as f64).fract();
+        let turned = (w.salt ^ turn).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11;
+        let place = (self.s.me as f64 * 0.618_033_988_75 + turned as f64 / (1u64 << 53) as f64).fract();
         let share = grants / self.s.instances as f64;
         let mine = share.floor() + f64::from(place < share.fract());
         let used = if w.cold_turn == turn { w.cold_used } else { 0.0 };
@@ -383,24 +385,29 @@
         let cross = dark || now as f64 >= r.start as f64 + aim * self.s.prices.cross_zone.min(0.5);
         let tag = &self.tags[r.class.0];
         let walk = if cross { &tag.script[..] } else { &tag.script[..tag.home] };
-        let patience = self.prompt();
         let asks = self.asks();
         let lively = asks && self.m.report_period < LIVELY * self.mean_run;
         let fresh = now.saturating_sub((FRESH * self.mean_run) as Micros);
         // Prevents: turns at cold workers pass unused while warm ones, on old news, are sent more than they
         // can start; and a job crawls at home though it could cross. Few instances find both in list order.
         let mut order = Cow::Borrowed(walk);
-        if thin {
+        if tag.script.len() < self.s.instances {
             let order = order.to_mut();
-            order.retain(|&id| cross || !self.w(id).health.slow(&self.health));
-            order.sort_by_cached_key(|&id| match (self.w(id), self.cold_age(now, self.w(id))) {
-                (w, _) if dark && Some(w.zone) == self.s.my_zone => 3,
-                (_, Some(_)) => 0,
-                (w, None) => 1 + u8::from(w.health.slow(&self.health)),
+            order.retain(|&(_, id)| cross || !self.w(id).health.slow(&self.health));
+            // Prevents: every worker fetches what any job is about, and all wait for the store they fetch it
+            // from. All instances have one order of workers for a key.
+            order.sort_by_cached_key(|&(block, id)| {
+                let w = self.w(id);
+                let rank = match self.cold_age(now, w) {
+                    _ if dark && Some(w.zone) == self.s.my_zone => 3,
+                    Some(_) if thin => 0,
+                    _ => 1 + u8::from(w.health.slow(&self.health)),
+                };
+                (rank, block, r.key.map(|key| mix(key ^ w.place)))
             });
         }
         let spares = if thin { &[SPARE, 0.0][..] } else { &[0.0] };
-        for (&spare, &id) in spares.iter().flat_map(|s| order.iter().map(move |id| (s, id))) {
+        for (&spare, &(_, id)) in spares.iter().flat_map(|s| order.iter().map(move |at| (s, at))) {
             let w = self.w(id);
             // Prevents: when the fleet is full on the mean, workers nobody has heard of are never found free.
             // Only where reports are younger than jobs: older ones show room that others have taken since.
@@ -416,7 +423,7 @@
             // Prevents: a job goes where there was room a while ago. Few jobs a dispatcher leave it without
             // fresh news of anybody, so it asks the worker it is about to use.
             if w.probe_out {
-                if now <= w.probe_at.max(self.m.awake) + patience {
+                if now <= w.probe_at.max(self.m.awake) + self.prompt() {
                     return Choice::Wait;
                 }
                 continue;
@@ -430,9 +437,10 @@
         }
         // Prevents: each of many instances takes what is full for soon to be free, as no report shows queues.
         // No followup there: what finds no room is held, and refused when it is too late to start.
-        let soon = |&&w: &&WorkerId| self.able(now, w, r, allowed) && self.starts_soon(now, self.w(w), r);
+        let soon =
+            |&&(_, w): &&(u8, WorkerId)| self.able(now, w, r, allowed) && self.starts_soon(now, self.w(w), r);
         let default = tag.script.iter().filter(|_| followup && cross && !thin).find(soon);
-        default.map_or(Choice::Nobody, |&w| Choice::Send(w))
+        default.map_or(Choice::Nobody, |&(_, w)| Choice::Send(w))
     }
 
     /// Tries to send; anything but `Send` leaves the request where it is.
@@ -551,7 +559,7 @@
     }
 
     fn on_request(&mut self, now: Micros, e: Incoming, out: &mut Vec<Action>) {
-        let Incoming { request: id, class, left, slots, memory, work } = e;
+        let Incoming { request: id, class, left, slots, memory, work, key } = e;
         self.gap += 0.1 * (now.saturating_sub(self.m.last_request).min(1_000_000) as f64 - self.gap);
         self.m.last_request = now;
         self.probe_credit = (self.probe_credit + PROBES_PER_REQUEST).min(PROBES_SAVED);
@@ -564,7 +572,7 @@
         let start = now.saturating_sub(belief.most_left - left);
         let deadline = now + left;
         let (attempts, answered, probes) = (Vec::new(), false, 0);
-        let r = Request { class, start, deadline, slots, memory, work, attempts, answered, probes };
+        let r = Request { class, start, deadline, slots, memory, work, key, attempts, answered, probes };
         self.m.requests.insert(id, r);
         if !matches!(self.place(now, id, false, out), Choice::Send(_)) {
             self.m.held.push(id);
@@ -755,8 +763,7 @@
         let Some(r) = self.m.requests.get(&id) else { return };
         let Some(a) = r.attempts.get(attempt).filter(|a| a.fate == Fate::Out && !a.started) else { return };
         let room = self.slots_of(self.w(worker), r) - self.w(worker).own;
-        let (sent, slots) = (a.sent, r.slots);
-        let w = self.wm(worker);
+        let (sent, slots, w) = (a.sent, r.slots, self.wm(worker));
         w.unstarted.retain(|&at| at != sent);
         if now <= sent + prompt {
             w.late = 0;
@@ -846,16 +853,11 @@
         let mut fresh = Vec::new();
         for e in entries {
             let at = e.worker.0 as usize;
-            if self.m.workers.len() <= at {
-                self.m.workers.resize_with(at + 1, || Worker {
-                    own_at: now,
-                    heard: now,
-                    ..Worker::default()
-                });
-            }
+            let new = || Worker { own_at: now, heard: now, ..Worker::default() };
+            self.m.workers.resize_with(self.m.workers.len().max(at + 1), new);
             let w = &mut self.m.workers[at];
             if w.listed_start != e.ready_at && e.ready_at > 0 {
-                let old = std::mem::replace(w, Worker { own_at: now, heard: now, ..Worker::default() });
+                let old = std::mem::replace(w, new());
                 (w.id, w.own, w.own_memory, w.own_count) = (old.id, old.own, old.own_memory, old.own_count);
                 (w.unstarted, w.watched, w.probe_out) = (old.unstarted, old.watched, old.probe_out);
                 (w.probe_at, w.used) = (old.probe_at, old.used);
@@ -864,6 +866,7 @@
                 w.id = e.id.to_string();
                 fresh.push(e.worker);
             }
+            w.place = e.id.bytes().fold(0, |h, b| mix(h ^ u64::from(b)));
             w.salt = e.id.bytes().fold(e.ready_at, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
             (w.zone, w.kind, w.cell, w.state) = (e.zone, e.kind, e.cell, e.state);
             (w.listed_start, w.ready_at) = (e.ready_at, w.ready_at.max(e.ready_at));
@@ -967,7 +970,7 @@
         }
         for _ in 0..n.min(REFRESHED_A_TICK) {
             self.m.refresh_at = (self.m.refresh_at + 1) % n;
-            let id = self.tags[0].script[self.m.refresh_at];
+            let (_, id) = self.tags[0].script[self.m.refresh_at];
             let w = self.w(id);
             if !w.probe_out && w.bad_until.is_none() && w.report_at + each <= now && w.probe_at + each <= now
             {
@@ -1047,7 +1050,3 @@
         }
     }
 }
-
-fn gcd(a: usize, b: usize) -> usize {
-    if b == 0 { a } else { gcd(b, a % b) }
-}
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -65,7 +65,7 @@
 //! }];
 //! balancer.handle(now, Event::List { kind: ListKind::Whole, entries: &list }, &mut actions);
 //! let request = RequestId(0);
-//! let job = Incoming { request, class: ClassId(0), left: 5_000_000, slots: 1.0, memory: 0.0, work: None };
+//! let job = Incoming { request, class: ClassId(0), left: 5_000_000, slots: 1.0, memory: 0.0, work: None, key: None };
 //! balancer.handle(now, Event::Request(job), &mut actions);
 //!
 //! // Carry the actions out in order. The balancer first asks the worker that it is about to use.
@@ -103,6 +103,7 @@
 pub mod api;
 mod balance;
 mod health;
+mod order;
 pub mod settings;
 mod state;
 
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -35,7 +35,8 @@
 /// The workers open to a class in the order it tries them; the first `home` are the home-zone block.
 #[derive(Default)]
 pub(crate) struct Tag {
-    pub(crate) script: Vec<WorkerId>,
+    /// Each with the number of its block.
+    pub(crate) script: Vec<(u8, WorkerId)>,
     pub(crate) home: usize,
 }
 
@@ -93,8 +94,9 @@
     pub(crate) trial: bool,
     pub(crate) probe_out: bool,
     pub(crate) probe_at: Micros,
-    /// The same at every instance: shares out the turns.
+    /// The same at every instance: shares out the turns; and its place for keys, of its id alone.
     pub(crate) salt: u64,
+    pub(crate) place: u64,
     /// The last turn in which we sent to it while cold, and how much work.
     pub(crate) cold_turn: u64,
     pub(crate) cold_used: f64,
@@ -114,6 +116,7 @@
     pub(crate) slots: f64,
     pub(crate) memory: f64,
     pub(crate) work: Option<Micros>,
+    pub(crate) key: Option<u64>,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) answered: bool,
     /// Probes sent for it.
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -69,6 +69,7 @@
     pub free: f64,
     /// Work that requests come with.
     pub hint: Option<Micros>,
+    pub key: Option<u64>,
 }
 
 impl Bench {
@@ -82,6 +83,7 @@
             hints: vec![],
             free: slots,
             hint: None,
+            key: None,
         };
         t.event(Event::List { kind: ListKind::WarmCopy, entries: workers });
         for w in workers {
@@ -114,7 +116,8 @@
         self.classes.push(class);
         self.hints.push(self.hint);
         let left = 5_000 * MS;
-        let job = Incoming { request, class: ClassId(class), left, slots, memory: 0.0, work: self.hint };
+        let (class, memory, work, key) = (ClassId(class), 0.0, self.hint, self.key);
+        let job = Incoming { request, class, left, slots, memory, work, key };
         (request, self.event(Event::Request(job)))
     }
 
--- a/crates/decisions/tests/decisions.rs
+++ b/crates/decisions/tests/decisions.rs
@@ -64,7 +64,15 @@
     let mut ask = |id: u64, slots: f64, memory: f64| {
         let (left, class) = (5_000 * MS, ClassId(0));
         let request = RequestId(id);
-        sent(&t.event(Event::Request(Incoming { request, class, left, slots, memory, work: None })))
+        sent(&t.event(Event::Request(Incoming {
+            request,
+            class,
+            left,
+            slots,
+            memory,
+            work: None,
+            key: None,
+        })))
     };
     assert_eq!(ask(100, 1.0, 1.5), Some(0));
     assert_eq!(ask(101, 1.0, 1.5), Some(1), "a slot is free on the first, but no memory");
@@ -558,6 +566,7 @@
         slots: 1.0,
         memory: 0.0,
         work: None,
+        key: None,
     });
     assert_eq!(sent(&t.event(e)), Some(0));
     t.now += 5 * MS;
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -154,3 +154,22 @@
     assert_eq!(play(20, true), [Some(2)], "one that answers shows that the zone is there");
     assert_eq!(play(1, false), [Some(2)]);
 }
+
+// Guards against every worker fetching what any job is about: the store they all fetch from gets so slow that jobs
+// hold their slots for seconds with the cores idle.
+#[test]
+fn jobs_about_the_same_go_to_the_same_worker_whichever_instance_of_a_large_fleet_they_come_to() {
+    let workers: Vec<_> = (0..8).map(|n| entry(n, 0)).collect();
+    let first = |me, key| {
+        let s = Settings { me, ..thin(Effect::Safe, 20) };
+        let mut t = Bench::new(s, &workers, 4.0);
+        t.key = Some(key);
+        t.spread(1)[0].expect("all are idle")
+    };
+    let places: Vec<u32> = (0..24).map(|key| first(0, key)).collect();
+    for me in [1, 7, 19] {
+        assert_eq!(places, (0..24).map(|key| first(me, key)).collect::<Vec<_>>(), "instance {me}");
+    }
+    let used: std::collections::BTreeSet<_> = places.iter().collect();
+    assert!(used.len() >= 6, "keys are spread: {places:?}");
+}
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -139,7 +139,15 @@
                 judge.requests.insert(request, held);
                 let slots = f64::from(rng.u32(1..3));
                 let class = ClassId(class);
-                let e = Event::Request(Incoming { request, class, left, slots, memory: 0.5, work: None });
+                let e = Event::Request(Incoming {
+                    request,
+                    class,
+                    left,
+                    slots,
+                    memory: 0.5,
+                    work: None,
+                    key: None,
+                });
                 let out = t.event(e);
                 judge.actions(t.now, &out);
             }
