Discovery: no dispatcher counts as told before it has asked, at any fleet size

Played with logs: 77 dispatchers were stopped at 5.59 s and came back at 10.63 s with a list from before the zone was lost (49 workers `gone` at 8.39 to 9.28 s, back by 12.81 s). n126 `listens` at 10.627, its first `the route set is told` came 14.57 s later. Over the fleet 214 branches went out more than 10 s after a start with no word from discovery; ask-within-us is 10 s, and 20.628 - 10.627 = 10.001 s is when the first breach was counted. At fault: pace.rs drew the first call from 50 ms for each instance without a bound (15 s for 300), and a lost watch alike. Ruled out: the watch's lines (index 1 to 7 came within 40 ms of each change at n1), the grace in the decisions, kept connections.

The draw is half of ask-within at most (5 s; a call takes 2.5 s more); between two watches half of the 6 s after which news counts as told, at a moved address a quarter of its 4 s; after failures up to half of the 40 s that the settings give after a failed call. A silent watch is given up after 2.5 s, as a line is due every 2 s.

--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -24,7 +24,7 @@
 /// A call is answered within this time or has failed.
 const CALL: Duration = Duration::from_millis(2_500);
 /// Discovery sends a line every 2 s. One that is missing for this long tells that the watch is lost.
-const SILENCE: Duration = Duration::from_millis(3_000);
+const SILENCE: Duration = Duration::from_millis(2_500);
 /// A line of a watch may be this long.
 const LINE_MOST: usize = 4 << 20;
 
@@ -125,6 +125,8 @@
     pub conf: Arc<Conf>,
     /// The version that is known already; without one the whole list comes first.
     pub index: Option<u64>,
+    /// A new configuration has moved the service here.
+    pub moved: bool,
     /// Who is told.
     pub tell: mpsc::UnboundedSender<(Source, RouteNews)>,
 }
@@ -146,7 +148,8 @@
         let ask_within = Duration::from_micros(self.conf.rules.ask_within_us);
         let mut pace = Pace::new(self.conf.n_instances, ask_within);
         // Prevents: dispatchers that start together call together, and most of them wait in vain.
-        sleep(pace.first(fastrand::f64())).await;
+        let draw = fastrand::f64();
+        sleep(if self.moved { pace.first_moved(draw) } else { pace.first(draw) }).await;
         loop {
             let before = self.index;
             let called = Instant::now();
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -85,10 +85,10 @@
 }
 
 impl Watch {
-    fn start(address: String, conf: Arc<Conf>, index: Option<u64>) -> Watch {
+    fn start(address: String, conf: Arc<Conf>, index: Option<u64>, moved: bool) -> Watch {
         let (tell, told) = mpsc::unbounded_channel();
         let mut task = JoinSet::new();
-        task.spawn(Watcher { address, conf, index, tell }.run());
+        task.spawn(Watcher { address, conf, index, moved, tell }.run());
         Watch { told, _task: task }
     }
 
@@ -331,7 +331,7 @@
             }
             Effect::Disconnect { hop } => drop(self.hops.remove(&hop)),
             Effect::WatchAt { address, index } => {
-                let watch = Watch::start(address, self.conf.clone(), index);
+                let watch = Watch::start(address, self.conf.clone(), index, self.watch.is_some());
                 match self.watch {
                     None => self.watch = Some(watch),
                     Some(_) => self.next_watch = Some(watch),
