--- a/crates/net/src/discovery/pace.rs
+++ b/crates/net/src/discovery/pace.rs
@@ -11,8 +11,6 @@
 /// where a new configuration has moved it.
 const TOLD: Duration = Duration::from_secs(6);
 const TOLD_MOVED: Duration = Duration::from_secs(4);
-/// After a call that failed a dispatcher counts as told so many times later.
-const FAILED: u32 = 4;
 /// The least wait between a call that has ended and the next.
 const LEAST: Duration = Duration::from_millis(50);
 /// Each failure in a row doubles the time that is drawn from, up to this many times its beginning.
@@ -36,8 +34,8 @@
     pub fn new(instances: usize, ask_within: Duration) -> Pace {
         let each = EACH * u32::try_from(instances.clamp(2, 1 << 20)).unwrap_or(1 << 20);
         let told = if ask_within.is_zero() { Duration::MAX } else { ask_within };
-        let (spread, bound) = (each.min(told / 2), told.saturating_mul(FAILED) / 2);
-        Pace { spread, most: spread.saturating_mul(1 << DOUBLINGS).min(bound), failures: 0 }
+        let spread = each.min(told / 2);
+        Pace { spread, most: spread.saturating_mul(1 << DOUBLINGS).min(told), failures: 0 }
     }
 
     /// The wait before the first call; `draw` is uniform from 0 to 1.
@@ -103,16 +101,17 @@
     // done for nobody, and dispatchers stayed with the list of their start for the whole day.
     #[test]
     fn a_fleet_that_calls_at_once_is_served_by_a_service_that_is_overbooked() {
-        for (instances, work, within) in [(100, 50 * MS, 10), (100, 100 * MS, 40), (300, 17 * MS, 10)] {
+        let plays = [(100, 50 * MS, 10, 36), (100, 100 * MS, 30, 36), (300, 17 * MS, 10, 84)];
+        for (instances, work, within, at_most) in plays {
             let (last, most) = play(instances, work);
             assert!(last.iter().all(|&l| l < within * 1_000 * MS), "{instances}, {work}: {last:?}");
             // What comes by chance on top of a fifth of them.
-            assert!(most <= instances / 5 + 24, "{instances}, {work}: {most}");
+            assert!(most <= at_most, "{instances}, {work}: {most}");
         }
     }
 
     // Guards against a dispatcher that counts as told that a worker has gone before it has asked, as it draws its
-    // turn from 15 s where there are 300: it went on sending there.
+    // turn from 15 s where there are 300: it went on sending there. After a failed call that comes four times later.
     #[test]
     fn whatever_the_size_of_the_fleet_a_call_is_over_before_its_news_counts_as_told() {
         let call = super::super::CALL;
@@ -123,7 +122,7 @@
                 assert!(pace.first_moved(1.0) + call <= TOLD_MOVED, "{instances}");
                 assert!(pace.next(STOOD * 2, true, 1.0) + call <= TOLD, "{instances}");
                 let failed = (0..9).map(|_| pace.next(Duration::ZERO, false, 1.0)).max().unwrap_or_default();
-                assert!(ask_within.is_zero() || failed + call <= ask_within * FAILED, "{instances}");
+                assert!(ask_within.is_zero() || failed + call <= ask_within * 4, "{instances}");
             }
         }
     }
@@ -142,6 +141,6 @@
         assert!(vast.next(Duration::ZERO, false, 1.0) < Duration::MAX);
         let mut fleet = Pace::new(300, Duration::from_secs(10));
         let waits: Vec<_> = (0..9).map(|_| fleet.next(Duration::ZERO, false, 1.0)).collect();
-        assert!(waits.iter().all(|&w| w <= Duration::from_millis(20_050)), "{waits:?}");
+        assert!(waits.iter().all(|&w| w <= Duration::from_millis(10_050)), "{waits:?}");
     }
 }
