Rig: scenarios play without second copies, which raced the dispatcher's tick

The settings of the scenarios allow second copies, and with `tells-start` a push not started 2 ms after it was sent (twice the resolution, no probes) gets one at the next tick, each 100 ms. A stand-in that answers within 66 ms of a slow machine may therefore find a copy of an earlier push at the other next hop. The verdict hung on wall time.

Change: SETTINGS of the rig has second copies off; a scenario of its own turns them on, waits for the copy, starts it and expects the first to be cut. No scenario needed them otherwise. Nothing the platform runs changed.

--- a/crates/net/tests/fronts.rs
+++ b/crates/net/tests/fronts.rs
@@ -167,6 +167,26 @@
     );
 }
 
+// Guards against a job that waits for a next hop which does not start it, and against two that both run it to the end.
+#[test]
+fn a_push_that_does_not_start_gets_a_copy_and_the_first_is_cut() {
+    let settings = SETTINGS.replacen("\"second-copies\":false", "\"second-copies\":true", 1);
+    let mut stage = Stage::with_settings(&["w1", "w2"], None, &settings);
+    stage.go_on(
+        r#"c send POST /rate-push/k t1 5000 x
+           w1 wait a
+           a expect POST /rate-push/k t1
+           w2 wait b
+           b expect POST /rate-push/k t1
+           b send 200
+           b send + {"id":"t1","from":"w2","state":"started"}
+           a expect end
+           b send + {"id":"t1","from":"w2","state":"done","result":"2"}
+           b send .
+           c expect 200 2"#,
+    );
+}
+
 // Guards against giving up what never ran: a refused connection and a turned-away job prove that.
 #[test]
 fn an_import_that_was_turned_away_goes_elsewhere() {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -77,7 +77,7 @@
   "lanes":[{"name":"rate-push","aim-us":500000,"deadline-us":5000000,"points":2.0,"semantics":"read_like"},
     {"name":"booking-import","aim-us":1500000,"deadline-us":6000000,"points":3.0,"semantics":"non_idempotent"}],
   "family-info":{"class-stretch":[2.5,2.0],"tells-start":true,"progress-us":2000000},
-  "limits":{"most-tries":6,"cancel":true,"second-copies":true,"retry-after":true,
+  "limits":{"most-tries":6,"cancel":true,"second-copies":false,"retry-after":true,
     "max-retry-after-us":2000000,"connect-timeout-us":250000,"conn-idle-us":15000000},"rules":{}}"#;
 
 impl Stage {
