Decisions: a job waits a little for its key's workers first, which keeps the store free

Jobs hold slots while they fetch from the one store. When the workers of a key were full, its jobs went on to any other, which fetched it too, so that all stayed full: a burst at 16 s was enough, and it ended with the load. At fault: the walk of `choose` over all workers, in order of the key.

Change: where instances outnumber workers that report, a job goes to the first quarter of the workers in its key's order, four at least, for three tenths of its aim, then to any. Workers known to have failed are not counted.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 test:
 	cargo test --locked --workspace
 
-# What takes minutes: every crash point of the store.
+# What takes minutes: every crash point of the store, fleets over many seeds.
 soak:
 	SOAK=1 cargo test --locked --workspace -- --nocapture
 
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -6,7 +6,7 @@
 
 use crate::api::*;
 use crate::health::{Health, catch_up, dark};
-use crate::order::{gcd, mix};
+use crate::order::{WAITS_FOR_THEM, first_for, gcd, mix};
 use crate::state::*;
 use std::borrow::Cow;
 
@@ -393,9 +393,13 @@
         let mut order = Cow::Borrowed(walk);
         if tag.script.len() < self.s.instances {
             let order = order.to_mut();
-            order.retain(|&(_, id)| cross || !self.w(id).health.slow(&self.health));
+            let fit = |w: &Worker| w.bad_until.is_none() && (cross || !w.health.slow(&self.health));
+            order.retain(|&(_, id)| fit(self.w(id)));
             // Prevents: every worker fetches what any job is about, and all wait for the store they fetch it
             // from. All instances have one order of workers for a key, but half swap the first two of it.
+            // While these are full a job waits a little: its fetch elsewhere would keep all full for longer.
+            let first = thin && (now as f64) < r.start as f64 + aim * WAITS_FOR_THEM;
+            r.key.filter(|_| first).into_iter().for_each(|k| first_for(k, order, |id| self.w(id).place));
             order.sort_by_cached_key(|&(block, id)| {
                 let w = self.w(id);
                 let rank = match self.cold_age(now, w) {
@@ -982,12 +986,8 @@
     /// Prevents: a lost answer keeps its slots for ever, and a worker whose answers get lost is cleared by
     /// probes that it does answer. Where no progress is told, nothing is overdue.
     fn find_overdue(&mut self, now: Micros) {
-        if self.s.progress_every == 0 {
-            return;
-        }
-        let mut found = Vec::new();
-        let every = self.s.progress_every;
-        for r in self.m.requests.values_mut() {
+        let (mut found, every) = (Vec::new(), self.s.progress_every);
+        for r in self.m.requests.values_mut().filter(|_| every > 0) {
             // Without hint or start note a silent job may as well wait in a queue.
             let usual =
                 r.work.map_or(if self.s.tells_start { every } else { 3 * every }, |w| every.min(2 * w));
--- a/crates/decisions/src/order.rs
+++ b/crates/decisions/src/order.rs
@@ -1,6 +1,6 @@
 //! Orders and shares that instances work out alone: arithmetic, no decision.
 
-use crate::api::Micros;
+use crate::api::{Micros, WorkerId};
 
 /// The greatest number that divides both.
 pub(crate) fn gcd(a: usize, b: usize) -> usize {
@@ -13,6 +13,18 @@
     (n ^ (n >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 11
 }
 
+/// What a key's jobs are about is fetched by one in so many workers, and by so many at least.
+const FETCHED_BY: usize = 4;
+const FETCHED_LEAST: usize = 4;
+/// For this share of its aim a job waits for one of these, before it goes to any other.
+pub(crate) const WAITS_FOR_THEM: f64 = 0.3;
+
+/// Leaves the workers that a key's jobs go to, by the places that all instances know them at.
+pub(crate) fn first_for(key: u64, order: &mut Vec<(u8, WorkerId)>, place: impl Fn(WorkerId) -> u64) {
+    order.sort_by_cached_key(|&(_, id)| mix(key ^ place(id)));
+    order.truncate((order.len() / FETCHED_BY).max(FETCHED_LEAST));
+}
+
 /// Probes that go round the workers unasked, one for each request, and at first one for each worker: all that where
 /// there are three workers to an instance, nothing where instances outnumber them, and in between in proportion.
 #[derive(Default)]
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -207,12 +207,13 @@
 
     /// The zone of this name; entries without one are in the first.
     pub fn zone(&self, name: Option<&str>) -> Option<ZoneId> {
-        name.map_or(Some(0), |n| index(&self.zones, n)).map(ZoneId)
+        name.filter(|_| !self.zones.is_empty()).map_or(Some(0), |n| index(&self.zones, n)).map(ZoneId)
     }
 
-    /// The machine kind of this name; entries without one are of the first.
+    /// The machine kind of this name; entries without one are of the first, and all where the
+    /// settings name none.
     pub fn kind(&self, name: Option<&str>) -> Option<KindId> {
-        name.map_or(Some(0), |n| index(&self.kinds, n)).map(KindId)
+        name.filter(|_| !self.kinds.is_empty()).map_or(Some(0), |n| index(&self.kinds, n)).map(KindId)
     }
 
     /// A load report from its values by name. Settings and sockets have words of their own for some.
@@ -272,15 +273,12 @@
     /// The same in the terms of the decision module, checked.
     pub fn settings(&self) -> Result<Settings, ConfError> {
         let my_zone = match &self.my_zone {
-            Some(zone) => {
-                let known = index(&self.zones, zone).ok_or_else(|| ConfError::UnknownZone(zone.clone()))?;
-                Some(ZoneId(known))
-            }
+            Some(zone) => Some(self.zone(Some(zone)).ok_or_else(|| ConfError::UnknownZone(zone.clone()))?),
             None => None,
         };
         let settings = Settings {
             me: self.me,
-            instances: self.n_instances,
+            instances: self.n_instances.max(1),
             zones: self.zones.len().max(1),
             my_zone,
             kinds: self.kinds.len().max(1),
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -181,3 +181,27 @@
     let used: std::collections::BTreeSet<_> = places.iter().collect();
     assert!(used.len() >= 6, "keys are spread: {places:?}");
 }
+
+// Guards against full workers that bring ever more of the others to fetch what a job is about, which keeps all full.
+#[test]
+fn a_job_waits_a_little_for_the_workers_of_its_key_before_it_goes_to_any_other() {
+    let workers: Vec<_> = (0..8).map(|n| entry(n, 0)).collect();
+    let mut t = Bench::new(thin(Effect::Safe, 20), &workers, 4.0);
+    t.key = Some(7);
+    let mut full = std::collections::BTreeSet::new();
+    while let Some(worker) = sent(&t.ask(0, 1.0).1) {
+        full.insert(worker);
+        t.report(worker, 0.0);
+    }
+    assert_eq!(full.len(), 4, "half of eight, the least that there are for a key: {full:?}");
+    let (request, out) = t.arrives(0, 1.0);
+    assert!(sent(&out).is_none() && !refused(&out, request));
+    let asked = t.now;
+    let elsewhere = loop {
+        if let Some(worker) = sent(&t.pass(20 * MS, &[0, 1, 2, 3, 4, 5, 6, 7])) {
+            break worker;
+        }
+        assert!(t.now < asked + 200 * MS, "it goes elsewhere in time");
+    };
+    assert!(!full.contains(&elsewhere) && t.now >= asked + 60 * MS, "{elsewhere} after {}", t.now - asked);
+}
--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tracing::{info, warn};
 
 /// A call is answered within this time or has failed.
@@ -176,8 +176,8 @@
         let mut sender = self.connect().await?;
         if list_first {
             let mut body = self.call(&mut sender, "/api/targets").await?;
-            let mut text = Vec::new();
-            while let Some(frame) = next(&mut body, CALL).await? {
+            let (mut text, end) = (Vec::new(), Instant::now() + CALL);
+            while let Some(frame) = next(&mut body, end).await? {
                 text.extend_from_slice(&frame);
                 check_length(&text)?;
             }
@@ -187,13 +187,18 @@
         }
         let path = format!("/api/targets?stream=1&index={}", self.index.unwrap_or_default());
         let mut body = self.call(&mut sender, &path).await?;
-        let mut line = Vec::new();
-        while let Some(frame) = next(&mut body, SILENCE).await? {
+        // Prevents: a line that trickles in keeps the watch for ever. It is whole within the time of a silence.
+        let (mut line, mut begun) = (Vec::new(), Instant::now());
+        while let Some(frame) = next(&mut body, begun + SILENCE).await? {
+            if line.is_empty() {
+                begun = Instant::now();
+            }
             for part in frame.split_inclusive(|&b| b == b'\n') {
                 line.extend_from_slice(part);
                 check_length(&line)?;
                 if part.ends_with(b"\n") {
                     self.heard(&std::mem::take(&mut line), false)?;
+                    begun = Instant::now();
                 }
             }
         }
@@ -212,6 +217,10 @@
         if self.index.is_none() && !whole && !asked {
             return Err(Broken::Malformed("changes came before the whole list".into()));
         }
+        // Prevents: a service that lags behind what it has told already takes back that a next hop leaves.
+        if !whole && !asked && self.index > Some(listing.index) && !listing.endpoints.is_empty() {
+            return Err(Broken::Malformed("changes came that are older than what was told".into()));
+        }
         let (index, lines) = (listing.index, listing.endpoints.len());
         info!(discovery = self.address, index, whole, lines, "the route set is told");
         self.index = Some(listing.index);
@@ -253,9 +262,9 @@
     }
 }
 
-/// The next part of a body; silence for too long is its end.
-async fn next(body: &mut Incoming, patience: Duration) -> Result<Option<Bytes>, Broken> {
-    match timeout(patience, body.frame()).await {
+/// The next part of a body; silence up to this time is its end.
+async fn next(body: &mut Incoming, end: Instant) -> Result<Option<Bytes>, Broken> {
+    match timeout_at(end, body.frame()).await {
         Err(_) => Err(Broken::Ended("silent for too long".into())),
         Ok(None) => Ok(None),
         Ok(Some(Err(e))) => Err(Broken::Ended(format!("broke: {e}"))),
--- a/crates/net/src/front/admission.rs
+++ b/crates/net/src/front/admission.rs
@@ -4,7 +4,8 @@
 //! HTTP parser sees them: a parser hides repeated lengths, and what has come behind a request.
 
 use std::collections::BTreeMap;
-use std::io;
+use std::io::{self, Read, Write};
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll, ready};
@@ -56,12 +57,15 @@
     since: Instant,
     /// It has held a request.
     used: bool,
+    /// It goes to make room for another.
+    sent_away: bool,
     message: Message,
 }
 
 impl Seat {
     fn new(now: Instant) -> Seat {
-        let state = State { at: At::First, since: now, used: false, message: Message::default() };
+        let state =
+            State { at: At::First, since: now, used: false, sent_away: false, message: Message::default() };
         Seat { state: Mutex::new(state), leave: Notify::new() }
     }
 
@@ -160,7 +164,10 @@
         if seats.len() >= self.room {
             let unused = seats.iter().filter_map(|(&number, seat)| Some((seat.use_of(now)?, number)));
             if let Some((_, number)) = unused.min() {
-                seats.remove(&number).inspect(|seat| seat.leave.notify_one());
+                seats.remove(&number).inspect(|seat| {
+                    seat.state().sent_away = true;
+                    seat.leave.notify_one();
+                });
             }
         }
         if seats.len() >= self.room + self.spare {
@@ -181,6 +188,21 @@
     }
 }
 
+/// What a connection gets that there is no room to read a request of.
+const BUSY: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Closes a new connection for which there is no place, with a busy answer to whatever it was to ask, as far as
+/// that takes no waiting.
+pub fn turn_away(stream: TcpStream) {
+    let Ok(mut stream) = stream.into_std() else { return };
+    // Prevents: a close with unread bytes resets the connection before the answer is read.
+    let mut part = [0; 16 << 10];
+    let _ = stream.read(&mut part);
+    let _ = stream.write(BUSY);
+    let _ = stream.shutdown(Shutdown::Write);
+}
+
 /// What has come of a message.
 #[derive(Debug, Default)]
 struct Message {
@@ -260,6 +282,16 @@
     }
 }
 
+impl Drop for Tap {
+    /// Prevents: a client whose request was on its way is left without an answer when its connection makes room.
+    fn drop(&mut self) {
+        let state = self.seat.state();
+        if state.sent_away && matches!(state.at, At::First | At::Reading) {
+            let _ = self.stream.try_write(BUSY);
+        }
+    }
+}
+
 impl AsyncRead for Tap {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/net/src/front/http.rs
+++ b/crates/net/src/front/http.rs
@@ -1,7 +1,7 @@
 //! The HTTP front: the platform's protocol, thin, on axum.
 
 use super::Gate;
-use super::admission::{Admission, Place, Seat, Tap};
+use super::admission::{Admission, Place, Seat, Tap, turn_away};
 use crate::config::Sockets;
 use axum::Router;
 use axum::body::Body;
@@ -92,7 +92,15 @@
                 },
                 () = closed(&mut closing) => break,
             };
-            let Some(place) = admission.admit(Instant::now()) else { continue };
+            let Some(place) = admission.admit(Instant::now()) else {
+                warn!(
+                    front = "http",
+                    most = sockets.inbound + sockets.spare,
+                    "no room: a connection is turned away"
+                );
+                turn_away(stream);
+                continue;
+            };
             let (closing, gone) = (closing.clone(), gone.clone());
             let router = match place.served {
                 true => router.clone(),
--- a/crates/net/tests/fronts.rs
+++ b/crates/net/tests/fronts.rs
@@ -2,7 +2,9 @@
 
 use pumiceway_rig::{Peer, SETTINGS, Stage, gearman_echo};
 use std::collections::BTreeMap;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -167,6 +169,33 @@
     );
 }
 
+// Guards against connections that are closed without a word where there is no room for them, or no more.
+#[test]
+fn whoever_finds_no_room_is_told_so() {
+    let settings = format!(r#"{SETTINGS},"limits":{{"sockets":268}}"#);
+    let stage = Stage::with_settings(&["w1"], None, &settings);
+    let half = b"POST /rate-push/k HTTP/1.1\r\nHost: x\r\nX-Txn: t\r\nX-Remaining-Ms: 5000\r\nContent-Length: 2\r\n\r\nx";
+    // More than there is room for: 65 that are served and 11 more.
+    let clients: Vec<_> = (0..160)
+        .map(|_| {
+            let mut client = TcpStream::connect(stage.http).unwrap();
+            client.write_all(half).unwrap();
+            client
+        })
+        .collect();
+    let mut busy = 0;
+    for mut client in clients {
+        let mut answer = Vec::new();
+        // Its connection may be reset once it has the answer, as nobody reads the rest of the request.
+        let _ = client.read_to_end(&mut answer);
+        let answer = String::from_utf8_lossy(&answer);
+        let told = answer.starts_with("HTTP/1.1 503") && answer.contains("retry-after: 1\r\n");
+        assert!(told || answer.starts_with("HTTP/1.1 408"), "{answer:?}");
+        busy += usize::from(told);
+    }
+    assert!(busy >= 84, "{busy}");
+}
+
 // Guards against a job that waits for a next hop which does not start it, and against two that both run it to the end.
 #[test]
 fn a_push_that_does_not_start_gets_a_copy_and_the_first_is_cut() {
@@ -292,6 +321,105 @@
     );
 }
 
+// Guards against a discovery that fails in any way taking down what is known, or being asked no more.
+#[test]
+fn whatever_discovery_answers_the_list_stands_and_it_is_asked_again() {
+    let line = r#"{"name":"w1","address":"127.0.0.1:1","zone":"z","type":"k","status":"draining"}"#;
+    let older = format!(r#"d send + {{"index":0,"snapshot":false,"endpoints":[{line}]}}"#);
+    let zone = line.replace(r#""z""#, r#""elsewhere""#).replace("w1", "w9");
+    let unknown = format!("d send + {{\"index\":2,\"snapshot\":false,\"endpoints\":[{zone}]}}\n d close");
+    let plays = [
+        ("d send raw HTTP/1.1 503 Service Unavailable\\r\\nContent-Length: 0\\r\\n\\r\\n", "1"),
+        ("d close", "1"),
+        ("d send raw nonsense\\r\\n\\r\\n", "1"),
+        ("d send 200\n d close", "1"),
+        ("d send 200\n d send + {\"index\":1,\"snapshot\":false,\"endpoints\":[]}\n d send .", "1"),
+        (&format!("d send 200\n {unknown}"), "2"),
+    ];
+    let served = "c send POST /rate-push/k t1 5000 x
+        w1 wait a
+        a expect POST /rate-push/k t1
+        a send done 1
+        c expect 200 1";
+    for (answer, index) in plays {
+        let again = format!("discovery wait e\n e expect GET /api/targets?stream=1&index={index}");
+        let start = "discovery wait d\n d expect GET /api/targets?stream=1&index=1";
+        Stage::play(&["w1", "discovery"], &format!("{start}\n {answer}\n {again}\n {served}"));
+    }
+    // What it words in no way that can be read, and what is older than its last word, makes for the whole list.
+    for answer in ["d send + {\"index\":\"x\"}", "d send + []", &older] {
+        let start = "discovery wait d\n d expect GET /api/targets?stream=1&index=1\n d send 200";
+        let again = "discovery wait e\n e expect GET /api/targets";
+        Stage::play(&["w1", "discovery"], &format!("{start}\n {answer}\n {again}\n {served}"));
+    }
+}
+
+// Guards against settings at their edges keeping the dispatcher from its work.
+#[test]
+fn settings_at_their_edges_serve() {
+    let zones = r#""zones":["z"],"my-zone":"z","#;
+    for (what, instead) in [
+        (zones, r#""zones":["z"],"my-zone":"z","n-instances":0,"#),
+        (zones, r#""zones":["z"],"my-zone":"z","n-instances":1,"#),
+        (zones, r#""zones":["z"],"my-zone":"z","n-instances":300,"me":299,"#),
+        (zones, r#""zones":["z"],"#),
+        (zones, r#""zones":[],"#),
+        (zones, ""),
+        (zones, r#""zones":["empty","z"],"my-zone":"empty","#),
+        (r#""kinds":["k"],"#, r#""kinds":[],"#),
+    ] {
+        let settings = SETTINGS.replacen(what, instead, 1);
+        assert_ne!(settings, SETTINGS);
+        Stage::with_settings(&["w1"], None, &settings).go_on(
+            "c send POST /rate-push/k t1 5000 x
+             w1 wait a
+             a expect POST /rate-push/k t1
+             a send done 1
+             c expect 200 1",
+        );
+    }
+}
+
+// Guards against a next hop that ends its answer and goes on, or ends it twice, being heard for the next job.
+#[test]
+fn what_a_next_hop_says_after_its_last_word_is_not_heard() {
+    let done = r#"a send + {"id":"t1","from":"w1","state":"done","result":"1"}"#;
+    Stage::play(
+        &["w1"],
+        &format!(
+            "c send POST /rate-push/k t1 5000 x
+             w1 wait a
+             a expect POST /rate-push/k t1
+             a send 200
+             {done}
+             {done}
+             c expect 200 1
+             c send POST /booking-import/k t2 5000 x
+             w1 wait b
+             b expect POST /booking-import/k t2
+             b send done 2
+             c expect 200 2"
+        ),
+    );
+}
+
+// Guards against a watch that is kept for ever by a line that never ends.
+#[test]
+fn a_watch_whose_line_trickles_in_is_given_up() {
+    let mut stage = Stage::play(
+        &["discovery"],
+        "discovery wait d
+         d expect GET /api/targets?stream=1&index=1
+         d send 200",
+    );
+    let given_up = Arc::new(AtomicBool::new(false));
+    let ended = given_up.clone();
+    let trickle = stage.trickle("d", Duration::from_millis(100), move || ended.load(Ordering::Relaxed));
+    stage.go_on("discovery wait e\n e expect GET /api/targets?stream=1&index=1");
+    given_up.store(true, Ordering::Relaxed);
+    trickle.join().unwrap();
+}
+
 // Guards against a reload that leaves the dispatcher at the old discovery, that drops the old watch before the new
 // one has told the whole list, or that takes the first changes there for all there is.
 #[test]
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -207,6 +207,21 @@
         self.reload.send(Reload { discovery, needs_restart: vec![] }).unwrap();
     }
 
+    /// A peer sends one chunk of a single byte after the other, until told to end.
+    pub fn trickle(
+        &mut self,
+        peer: &str,
+        each: Duration,
+        over: impl Fn() -> bool + Send + 'static,
+    ) -> std::thread::JoinHandle<()> {
+        let mut peer = self.peers.remove(peer).unwrap();
+        std::thread::spawn(move || {
+            while !over() && peer.stream.write_all(b"1\r\n \r\n").is_ok() {
+                std::thread::sleep(each);
+            }
+        })
+    }
+
     /// Waits until the route set shows a line.
     pub fn until_listed(&mut self, hop: &str, state: &str) {
         let (line, end) = (format!("{hop}\t{state}\t"), Instant::now() + PATIENCE);
