Decisions: the round of probes goes on where a list falls below three to an instance

While there are three workers to an instance the round has no bound, yet each probe was taken off what is saved. When the list got shorter, all of them were owed: 2 instances, 8 workers for 120 s, then 5, sent no probe in 20 s, where some 18 are due. At fault: `Round::room` returned early without filling what `spend` went on taking from, and the caller kept a second count beside it.

Change: one count, filled in one place, full while there is no bound; the flag for the first filling is gone, as the time of the last one tells. A test of its own fails without (0 probes).

--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -969,15 +969,15 @@
     fn refresh(&mut self, now: Micros, out: &mut Vec<Action>) {
         let n = self.tags.first().map_or(0, |t| t.script.len());
         let each = (self.gap * n as f64).max(500_000.0) as Micros;
-        let mut room = if self.asks() { self.m.round.room(now, self.gap, n, self.s.instances) } else { 0 };
+        if self.asks() {
+            self.m.round.fill(now, self.gap, n, self.s.instances);
+        }
         for _ in 0..n.min(REFRESHED_A_TICK) {
             self.m.refresh_at = (self.m.refresh_at + 1) % n;
             let (_, id) = self.tags[0].script[self.m.refresh_at];
             let w = self.w(id);
             let due = w.report_at + each <= now && w.probe_at + each <= now;
-            if room > 0 && due && !w.probe_out && w.bad_until.is_none() {
-                room -= 1;
-                self.m.round.spend();
+            if due && !w.probe_out && w.bad_until.is_none() && self.m.round.take() {
                 self.probe(now, id, out);
             }
         }
--- a/crates/decisions/src/order.rs
+++ b/crates/decisions/src/order.rs
@@ -30,24 +30,28 @@
 #[derive(Default)]
 pub(crate) struct Round {
     saved: f64,
-    begun: bool,
-    at: Micros,
+    at: Option<Micros>,
 }
 
 impl Round {
-    /// What may go out now; `gap` is the mean time (µs) between two requests.
-    pub(crate) fn room(&mut self, now: Micros, gap: f64, workers: usize, instances: usize) -> usize {
-        let share = 1.5 * (1.0 - instances as f64 / workers.max(1) as f64);
-        if share >= 1.0 {
-            return workers;
+    /// Lets time pass up to now; `gap` is the mean time (µs) between two requests.
+    pub(crate) fn fill(&mut self, now: Micros, gap: f64, workers: usize, instances: usize) {
+        let share = (1.5 * (1.0 - instances as f64 / workers.max(1) as f64)).clamp(0.0, 1.0);
+        let most = share * workers as f64;
+        let new = match self.at {
+            Some(at) if share < 1.0 => now.saturating_sub(at) as f64 / gap.max(1.0) * share,
+            _ => most,
+        };
+        self.saved = (self.saved + new).min(most);
+        if workers > 0 {
+            self.at = Some(now);
         }
-        let most = (share * workers as f64).max(0.0);
-        let new = if self.begun { now.saturating_sub(self.at) as f64 / gap.max(1.0) * share } else { most };
-        (self.saved, self.begun, self.at) = ((self.saved + new).min(most), self.begun || workers > 0, now);
-        self.saved as usize
     }
 
-    pub(crate) fn spend(&mut self) {
-        self.saved -= 1.0;
+    /// Takes one out; whether there was one.
+    pub(crate) fn take(&mut self) -> bool {
+        let some = self.saved >= 1.0;
+        self.saved -= f64::from(u8::from(some));
+        some
     }
 }
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -205,3 +205,19 @@
     };
     assert!(!full.contains(&elsewhere) && t.now >= asked + 60 * MS, "{elsewhere} after {}", t.now - asked);
 }
+
+// Guards against a small site whose list falls below three workers to an instance and that pays then for every probe it
+// sent while it had no bound: it heard no more of workers it does not use.
+#[test]
+fn the_round_of_probes_goes_on_when_a_list_gets_shorter() {
+    let all: Vec<_> = (0..8).map(|n| entry(n, 0)).collect();
+    let mut t = Bench::new(thin(Effect::Safe, 2), &all, 4.0);
+    let mut asked = |t: &mut Bench, span| {
+        let out = t.pass(span, &[0, 1, 2, 3, 4, 5, 6, 7]);
+        out.iter().filter(|a| matches!(a, Action::Probe { .. })).count()
+    };
+    assert!(asked(&mut t, 120_000 * MS) > 50, "one for each of eight workers in each of their gaps");
+    t.event(Event::List { kind: ListKind::Whole, entries: &all[..5] });
+    let asked = asked(&mut t, 20_000 * MS);
+    assert!((10..=25).contains(&asked), "nine in ten of one a second: {asked}");
+}
