Fronts: Idempotency-Key passes through to next hops, byte for byte, on each attempt

Ruled out: path, query and body, which pass unchanged (read in the scenario's stand-in). At fault: `Idempotency-Key` was read nowhere in front/http.rs, and hop/mod.rs wrote X-Txn and X-Remaining-Ms alone; `Job` had no place for it.

The key is part of the job, so that each branch carries it. A job of a keyed class whose key is missing, doubled, empty or not text is answered 400 and sent nowhere. Over Gearman the unique id stands for it, and the job's own id where there is none.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,8 @@
     pub id: String,
     /// Path and query.
     pub path: String,
+    /// What next hops know a repeat of it by, passed on byte for byte with each branch.
+    pub repeat_key: Option<String>,
     /// Body.
     pub body: Bytes,
 }
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -40,7 +40,8 @@
     }
 
     fn submit_as(&mut self, ticket: u64, id: &str, left: Micros) -> Vec<Effect> {
-        let job = Arc::new(Job { id: id.to_owned(), path: "/c/k".into(), body: Bytes::new() });
+        let job =
+            Arc::new(Job { id: id.to_owned(), path: "/c/k".into(), repeat_key: None, body: Bytes::new() });
         let class = ClassId(0);
         let transaction = Transaction { class, left, slots: 1.0, memory: 0.0, job, identity: None };
         self.tell(Event::Submitted { ticket: Ticket(ticket), transaction })
@@ -220,7 +221,8 @@
 // Guards against jobs about the same that are not seen to be: the key is the last part of a path that has one.
 #[test]
 fn the_last_part_of_a_path_is_what_a_job_is_about() {
-    let key = |path: &str| Job { id: "a".into(), path: path.into(), body: Bytes::new() }.key();
+    let key =
+        |path: &str| Job { id: "a".into(), path: path.into(), repeat_key: None, body: Bytes::new() }.key();
     assert_eq!((key("/rate-push"), key("/rate-push/"), key("/")), (None, None, None));
     assert_eq!(key("/rate-push/7f3a"), key("/booking-import/7f3a?x=1"));
     assert!(key("/rate-push/7f3a").is_some() && key("/rate-push/7f3a") != key("/rate-push/7f3b"));
--- a/crates/net/src/front/gearman/clients.rs
+++ b/crates/net/src/front/gearman/clients.rs
@@ -4,6 +4,7 @@
 use super::{Gearman, Outbox};
 use bytes::Bytes;
 use pumiceway_core::{Answer, Identity, Job, News, Transaction};
+use pumiceway_decisions::settings::Semantics;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -116,6 +117,9 @@
         let unique = Some(unique).filter(|u| !u.is_empty() && *u != "-");
         let id = format!("{:016x}", fastrand::u64(..));
         let path = format!("/{class}/{}", unique.map_or_else(|| id.clone(), path_part));
+        // Prevents: a repeat of a job that next hops are to drop is done by them once more.
+        let keyed = matches!(self.front.conf.lanes[function.class.0].semantics, Semantics::IdempotencyKey);
+        let repeat_key = keyed.then(|| unique.map_or_else(|| id.clone(), path_part));
         let handle = format!("H:pumiceway:{id}");
         self.outbox.say(Packet::JobCreated { handle: handle.clone() });
         if self.front.jobs.fetch_add(1, Ordering::Relaxed) >= self.front.limits.1 {
@@ -132,7 +136,7 @@
             left: function.left,
             slots: function.slots,
             memory: 0.0,
-            job: Arc::new(Job { id, path, body: workload }),
+            job: Arc::new(Job { id, path, repeat_key, body: workload }),
             identity: unique.map(|u| Identity(format!("{class}\0{u}"))),
         };
         let (news, mut told) = mpsc::unbounded_channel();
--- a/crates/net/src/front/http.rs
+++ b/crates/net/src/front/http.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use pumiceway_core::{Answer, Job, Rejection, Transaction};
 use pumiceway_decisions::api::{ClassId, Micros};
-use pumiceway_decisions::settings::Conf;
+use pumiceway_decisions::settings::{Conf, Semantics};
 use std::future::poll_fn;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -212,6 +212,12 @@
         return Err(malformed("X-Lane and path name two classes"));
     }
     let id = header(headers, "x-txn")?.filter(|id| well_formed(id)).ok_or(malformed("X-Txn"))?.to_owned();
+    let repeat_key = header(headers, "idempotency-key")?.map(str::to_owned);
+    // Prevents: a repeat of it runs again wherever it is sent, as nobody can tell it from another job.
+    let keyed = matches!(conf.lanes[class].semantics, Semantics::IdempotencyKey);
+    if keyed && repeat_key.as_ref().is_none_or(String::is_empty) {
+        return Err(malformed("Idempotency-Key"));
+    }
     let left = header(headers, "x-remaining-ms")?.ok_or(malformed("X-Remaining-Ms"))?;
     if left.is_empty() || !left.bytes().all(|b| b.is_ascii_digit()) {
         return Err(malformed("X-Remaining-Ms"));
@@ -240,7 +246,7 @@
     if seat.excess(length) {
         return Err(malformed("more came than Content-Length says"));
     }
-    let job = Arc::new(Job { id, path, body });
+    let job = Arc::new(Job { id, path, repeat_key, body });
     Ok(Transaction { class: ClassId(class), left, slots, memory, job, identity: None })
 }
 
--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::http::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
@@ -175,6 +176,9 @@
             .header("X-Txn", &job.id)
             .header("X-Remaining-Ms", left.as_millis() as u64)
             .body(Full::new(job.body.clone()))?;
+        if let Some(key) = &job.repeat_key {
+            request.headers_mut().insert("idempotency-key", HeaderValue::from_str(key)?);
+        }
         let branch = Branch { captured: capture_connection(&mut request) };
         let client = if fresh { self.fresh.clone() } else { self.client.clone() };
         let (id, of) = (job.id.clone(), branch.clone());
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -488,7 +488,7 @@
         self.clients.insert(ticket, Client { life, came: self.now, class, tries, owed: true });
         self.plan_in(left, What::Deadline(ticket));
         let key = self.rng.u32(..40) * self.rng.u32(..3);
-        let job = Job { id: id.to_string(), path: format!("/c/{key}"), body: Bytes::new() };
+        let job = Job { id: id.to_string(), path: format!("/c/{key}"), repeat_key: None, body: Bytes::new() };
         let slots = hops::slots(class);
         let class = ClassId(class);
         let transaction = Transaction { class, left, slots, memory: 0.0, job: Arc::new(job), identity: None };
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,7 +4,8 @@
 //! c send POST /rate-push/k t1 5000 body     a client's request: path, X-Txn, X-Remaining-Ms, body
 //! g send [SUBMIT_JOB rate-push|u1|body]     a Gearman packet; a peer named g… talks to the Gearman front
 //! w1 wait a                                 next hop w1 gets a connection, which is called a
-//! a expect POST /rate-push/k t1             a request: start of its first line, and text that it contains
+//! a expect POST /rate-push/k t1             a request: start of its first line, and text that it contains; `!text` for
+//!                                           what it must not, `\x20` and `\x09` for blanks and tabs in it
 //! a send 200                                the head of a chunked answer
 //! a send + {"id":"t1","from":"w1",…}        a line of it; `a send .` ends it
 //! a send json {…}                           a whole answer with this body
@@ -291,7 +292,7 @@
                 let body = &what[5..];
                 format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes()
             }
-            ["raw", ..] => what[4..].replace("\\r", "\r").replace("\\n", "\n").replace("\\0", "\0").into_bytes(),
+            ["raw", ..] => what[4..].replace("\\r", "\r").replace("\\n", "\n").replace("\\t", "\t").replace("\\0", "\0").into_bytes(),
             _ if what.starts_with('[') => packet(what),
             _ => panic!("nothing to send in {what:?}"),
         };
@@ -327,7 +328,11 @@
             status if status.starts_with(|c: char| c.is_ascii_digit()) => format!("HTTP/1.1 {status}"),
             method => format!("{method} {}", parts.next().unwrap_or_default()),
         };
-        let good = message.starts_with(&first) && parts.all(|p| message.contains(p));
+        let holds = |part: &str| match part.strip_prefix('!') {
+            Some(part) => !message.contains(part),
+            None => message.contains(&part.replace("\\x20", " ").replace("\\x09", "\t")),
+        };
+        let good = message.starts_with(&first) && parts.all(holds);
         if good { Ok(vec![]) } else { Err(format!("got {message:?}")) }
     }
 
