Settings: tenants, priorities and what weights mean are read and reach the decisions

`X-Org` was read nowhere, nor were `tenants`, `over-share-worth`, `class-priority`, `queue-order` and `weights` of the settings.

Weights that live fall with load, so kinds changed their label from one list to the next; weights that are 1 for all call a machine with many slots slow. Such a weight now tells no size.

A tenant that the settings lack is answered 400; a job of no tenant is taken. The decisions use none of this yet.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -116,6 +116,7 @@
                     slots: e.slots.unwrap_or(1.0),
                     memory: e.mem_needed.unwrap_or(0.0),
                     work: e.expected_us,
+                    tenant: e.team.as_ref().and_then(|t| names.conf.tenant(t.as_str()?)),
                     key: e.path_key,
                 });
                 self.balancer.handle(now, event, out);
@@ -234,7 +235,7 @@
                 wire::Availability::Deregistered => WorkerState::Gone,
             },
             ready_at: m.ready_at_us,
-            size: m.units.unwrap_or(1.0),
+            size: self.conf.size(m.units),
             warm: false,
             jobs: None,
         })
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -101,6 +101,8 @@
     pub slots: Option<f64>,
     pub expected_us: Option<u64>,
     pub path_key: Option<u64>,
+    /// A name; a number where there are no tenants.
+    pub team: Option<serde_json::Value>,
 }
 
 #[derive(Deserialize)]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,7 +12,7 @@
 pub use routes::{NextHop, Reach, RouteNews, Source};
 
 use bytes::Bytes;
-use pumiceway_decisions::api::{ClassId, Micros, Report, Status, WorkerId};
+use pumiceway_decisions::api::{ClassId, Micros, Report, Status, TenantId, WorkerId};
 use std::sync::Arc;
 
 /// A client that waits for the answer to a transaction.
@@ -56,6 +56,8 @@
     pub slots: f64,
     /// Memory it takes.
     pub memory: f64,
+    /// Whose it is.
+    pub tenant: Option<TenantId>,
     /// What is to be done.
     pub job: Arc<Job>,
     /// What its client calls it by when it comes again: it then joins the transaction that is running, or
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -363,6 +363,7 @@
             slots: t.slots,
             memory: t.memory,
             work: None,
+            tenant: t.tenant,
             key,
         }));
     }
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -43,7 +43,8 @@
         let job =
             Arc::new(Job { id: id.to_owned(), path: "/c/k".into(), repeat_key: None, body: Bytes::new() });
         let class = ClassId(0);
-        let transaction = Transaction { class, left, slots: 1.0, memory: 0.0, job, identity: None };
+        let transaction =
+            Transaction { class, left, slots: 1.0, memory: 0.0, tenant: None, job, identity: None };
         self.tell(Event::Submitted { ticket: Ticket(ticket), transaction })
     }
 
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -29,6 +29,17 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct KindId(pub usize);
 
+/// Index into [`Settings::tenants`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantId(pub usize);
+
+/// One of those who share the workers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tenant {
+    /// Requests a second in its share, over all instances together.
+    pub quota: f64,
+}
+
 /// The workers that recognise and drop a repeat of a keyed request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Group {
@@ -69,6 +80,8 @@
     pub stretch: f64,
     /// Total time a client waits over all its tries.
     pub deadline: Micros,
+    /// Workers start what waits in order of priority, highest first; 0 for all where they keep another order.
+    pub priority: u32,
     /// How long a request may wait for its start; `None`: for as long as the aim is believed to be met.
     pub wait: Option<Micros>,
     /// The only zones that the class may be sent to; `None`: any. An empty list allows nobody.
@@ -112,6 +125,10 @@
     pub kinds: usize,
     /// The classes of request.
     pub classes: Vec<Class>,
+    /// Who shares the workers; nobody in particular where empty.
+    pub tenants: Vec<Tenant>,
+    /// Worth of a request beyond its tenant's share, as a part of its class's worth.
+    pub over_share_worth: f64,
     /// Prices.
     pub prices: Prices,
     /// Where load reports come from.
@@ -245,7 +262,7 @@
     pub state: WorkerState,
     /// When the process last started; 0 for long ago.
     pub ready_at: Micros,
-    /// Size beside other workers, without unit.
+    /// Size beside other workers, without unit; 0 where it is not known.
     pub size: f64,
     /// It has all its capacity from its start on, whenever that was.
     pub warm: bool,
@@ -335,6 +352,8 @@
     pub memory: f64,
     /// Hint of its work, as time on a standard core.
     pub work: Option<Micros>,
+    /// Whose it is; `None` where there are no tenants, or for one that belongs to none of them.
+    pub tenant: Option<TenantId>,
     /// What it is about, where that is known: a worker that has just done the like is quicker.
     pub key: Option<u64>,
 }
--- a/crates/decisions/src/balance.rs
+++ b/crates/decisions/src/balance.rs
@@ -565,7 +565,7 @@
     }
 
     fn on_request(&mut self, now: Micros, e: Incoming, out: &mut Vec<Action>) {
-        let Incoming { request: id, class, left, slots, memory, work, key } = e;
+        let Incoming { request: id, class, left, slots, memory, work, tenant: _, key } = e;
         self.gap += 0.1 * (now.saturating_sub(self.m.last_request).min(1_000_000) as f64 - self.gap);
         self.m.last_request = now;
         self.probe_credit = (self.probe_credit + PROBES_PER_REQUEST).min(PROBES_SAVED);
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -21,10 +21,13 @@
 //!         aim: 200_000,
 //!         stretch: 2.0,
 //!         deadline: 5_000_000,
+//!         priority: 0,
 //!         wait: None,
 //!         zones: None,
 //!         kinds: None,
 //!     }],
+//!     tenants: vec![],
+//!     over_share_worth: 1.0,
 //!     prices: Prices { cross_zone: 0.1, probe: 0.002 },
 //!     report_via: ReportVia::Answers,
 //!     list_by_asking: false,
@@ -65,7 +68,8 @@
 //! }];
 //! balancer.handle(now, Event::List { kind: ListKind::Whole, entries: &list }, &mut actions);
 //! let request = RequestId(0);
-//! let job = Incoming { request, class: ClassId(0), left: 5_000_000, slots: 1.0, memory: 0.0, work: None, key: None };
+//! let (class, left) = (ClassId(0), 5_000_000);
+//! let job = Incoming { request, class, left, slots: 1.0, memory: 0.0, work: None, tenant: None, key: None };
 //! balancer.handle(now, Event::Request(job), &mut actions);
 //!
 //! // Carry the actions out in order. The balancer first asks the worker that it is about to use.
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -2,7 +2,8 @@
 //! and what it says in the terms of the decision module.
 
 use crate::api::{
-    Class, Effect, Group, KindId, Micros, Prices, Report, ReportVia, Settings, SettingsError, ZoneId,
+    Class, Effect, Group, KindId, Micros, Prices, Report, ReportVia, Settings, SettingsError, Tenant,
+    TenantId, ZoneId,
 };
 use serde::Deserialize;
 
@@ -33,6 +34,35 @@
     pub rules: Rules,
     #[serde(default)]
     pub resolution_us: u64,
+    #[serde(default)]
+    pub tenants: Vec<TenantConf>,
+    #[serde(default = "whole")]
+    pub over_share_worth: f64,
+    #[serde(default)]
+    pub weights: Weights,
+}
+
+/// One of those who share the workers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+#[allow(missing_docs)]
+pub struct TenantConf {
+    pub name: String,
+    #[serde(default)]
+    pub quota_per_s: f64,
+}
+
+/// What the size of a worker on the list means.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum Weights {
+    #[default]
+    None,
+    Nominal,
+    Rough,
+    /// Lowered by what it holds, from one list to the next.
+    Live,
 }
 
 fn one() -> usize {
@@ -89,12 +119,25 @@
     Cell,
 }
 
+/// How a worker serves what waits.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+#[allow(missing_docs)]
+pub enum QueueOrder {
+    #[default]
+    Fifo,
+    Backfill,
+    Priority,
+}
+
 /// Facts of this kind of service.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
 #[allow(missing_docs)]
 pub struct FamilyInfo {
     pub class_kind: Vec<i64>,
+    pub class_priority: Vec<i64>,
+    pub queue_order: QueueOrder,
     pub class_stretch: Vec<f64>,
     pub progress_us: u64,
     pub tells_start: bool,
@@ -205,6 +248,18 @@
         self.lanes.iter().position(|l| l.name == name)
     }
 
+    /// The tenant of this name.
+    pub fn tenant(&self, name: &str) -> Option<TenantId> {
+        self.tenants.iter().position(|t| t.name == name).map(TenantId)
+    }
+
+    /// The size of a worker that the list gives this weight; 0 where it tells none. Prevents: a weight that falls with
+    /// load, or that is 1 for all, makes whoever is busy or has many slots look like a slow machine.
+    pub fn size(&self, weight: Option<f64>) -> f64 {
+        let told = matches!(self.weights, Weights::Nominal | Weights::Rough);
+        weight.filter(|w| told && w.is_finite() && *w > 0.0).unwrap_or(0.0)
+    }
+
     /// The zone of this name; entries without one are in the first, and all where the settings name none.
     pub fn zone(&self, name: Option<&str>) -> Option<ZoneId> {
         name.filter(|_| !self.zones.is_empty()).map_or(Some(0), |n| index(&self.zones, n)).map(ZoneId)
@@ -264,6 +319,13 @@
             aim: lane.aim_us,
             stretch: lane.aim_stretch.or(self.family_info.class_stretch.get(n).copied()).unwrap_or(0.0),
             deadline: lane.deadline_us,
+            priority: match self.family_info.queue_order {
+                QueueOrder::Priority => {
+                    let own = self.family_info.class_priority.get(n).copied().unwrap_or(0);
+                    u32::try_from(own).unwrap_or(0)
+                }
+                QueueOrder::Fifo | QueueOrder::Backfill => 0,
+            },
             wait: lane.wait_us,
             zones: lane.zones_only.as_ref().map(|list| placed(list, &self.zones).map(ZoneId).collect()),
             kinds: self.kinds_of(lane, self.family_info.class_kind.get(n).copied()),
@@ -283,6 +345,8 @@
             my_zone,
             kinds: self.kinds.len().max(1),
             classes: self.lanes.iter().enumerate().map(|(n, lane)| self.class_settings(n, lane)).collect(),
+            tenants: self.tenants.iter().map(|t| Tenant { quota: t.quota_per_s.max(0.0) }).collect(),
+            over_share_worth: self.over_share_worth.clamp(0.0, 1.0),
             prices: Prices { cross_zone: self.prices.cross_zone, probe: self.prices.probe },
             report_via: match self.report.via {
                 Via::Answers => ReportVia::Answers,
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -9,7 +9,7 @@
 
 pub fn class(effect: Effect) -> Class {
     let (aim, deadline, wait) = (200 * MS, 5_000 * MS, None);
-    Class { effect, worth: 1.0, aim, stretch: 2.0, deadline, wait, zones: None, kinds: None }
+    Class { effect, worth: 1.0, aim, stretch: 2.0, deadline, priority: 0, wait, zones: None, kinds: None }
 }
 
 pub fn settings(effect: Effect) -> Settings {
@@ -20,6 +20,8 @@
         my_zone: Some(ZoneId(0)),
         kinds: 1,
         classes: vec![class(effect)],
+        tenants: vec![],
+        over_share_worth: 1.0,
         prices: Prices::default(),
         report_via: ReportVia::Answers,
         list_by_asking: false,
@@ -70,6 +72,7 @@
     /// Work that requests come with.
     pub hint: Option<Micros>,
     pub key: Option<u64>,
+    pub tenant: Option<TenantId>,
 }
 
 impl Bench {
@@ -84,6 +87,7 @@
             free: slots,
             hint: None,
             key: None,
+            tenant: None,
         };
         t.event(Event::List { kind: ListKind::WarmCopy, entries: workers });
         for w in workers {
@@ -117,7 +121,8 @@
         self.hints.push(self.hint);
         let left = 5_000 * MS;
         let (class, memory, work, key) = (ClassId(class), 0.0, self.hint, self.key);
-        let job = Incoming { request, class, left, slots, memory, work, key };
+        let tenant = self.tenant;
+        let job = Incoming { request, class, left, slots, memory, work, tenant, key };
         (request, self.event(Event::Request(job)))
     }
 
--- a/crates/decisions/tests/decisions.rs
+++ b/crates/decisions/tests/decisions.rs
@@ -71,6 +71,7 @@
             slots,
             memory,
             work: None,
+            tenant: None,
             key: None,
         })))
     };
@@ -566,6 +567,7 @@
         slots: 1.0,
         memory: 0.0,
         work: None,
+        tenant: None,
         key: None,
     });
     assert_eq!(sent(&t.event(e)), Some(0));
--- a/crates/decisions/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -146,6 +146,7 @@
                     slots,
                     memory: 0.5,
                     work: None,
+                    tenant: None,
                     key: None,
                 });
                 let out = t.event(e);
--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -108,7 +108,7 @@
                         Status::Gone => WorkerState::Gone,
                     },
                     ready_at: e.since_ms.saturating_mul(1_000) as Micros,
-                    size: e.weight.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0),
+                    size: conf.size(e.weight),
                     warm: false,
                     jobs: None,
                 })
--- a/crates/net/src/front/gearman/clients.rs
+++ b/crates/net/src/front/gearman/clients.rs
@@ -136,6 +136,7 @@
             left: function.left,
             slots: function.slots,
             memory: 0.0,
+            tenant: None,
             job: Arc::new(Job { id, path, repeat_key, body: workload }),
             identity: unique.map(|u| Identity(format!("{class}\0{u}"))),
         };
--- a/crates/net/src/front/http.rs
+++ b/crates/net/src/front/http.rs
@@ -223,6 +223,11 @@
         return Err(malformed("X-Remaining-Ms"));
     }
     let left = left.parse().unwrap_or(LEFT_MOST_MS).min(LEFT_MOST_MS) as Micros * 1_000;
+    // Prevents: work of a name that is mistyped counts for nobody, and gives way to all others unnoticed.
+    let tenant = match header(headers, "x-org")?.filter(|_| !conf.tenants.is_empty()) {
+        Some(name) => Some(conf.tenant(name).ok_or(malformed("unknown tenant"))?),
+        None => None,
+    };
     let (mut slots, mut memory) = (1.0, 0.0);
     for label in header(headers, "x-labels")?.unwrap_or_default().split(',').filter(|l| !l.trim().is_empty())
     {
@@ -247,7 +252,7 @@
         return Err(malformed("more came than Content-Length says"));
     }
     let job = Arc::new(Job { id, path, repeat_key, body });
-    Ok(Transaction { class: ClassId(class), left, slots, memory, job, identity: None })
+    Ok(Transaction { class: ClassId(class), left, slots, memory, tenant, job, identity: None })
 }
 
 fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Bad> {
--- a/crates/rig/benches/decision.rs
+++ b/crates/rig/benches/decision.rs
@@ -73,6 +73,7 @@
                     slots: 1.0,
                     memory: 0.0,
                     work: None,
+                    tenant: None,
                     key: Some(n * n % 97),
                 };
                 let mut took = play.event(Event::Request(job));
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -133,6 +133,7 @@
         aim,
         stretch: 2.0,
         deadline: DEADLINE,
+        priority: 0,
         wait: None,
         zones: None,
         kinds: None,
@@ -145,6 +146,8 @@
         my_zone: Some(ZoneId(me % zones)),
         kinds: 1,
         classes: vec![class(api::Effect::Safe, 1.0, 500 * MS), class(api::Effect::Unsafe, 3.0, 1_500 * MS)],
+        tenants: vec![],
+        over_share_worth: 1.0,
         prices: Prices { cross_zone: 0.02, probe: 0.01 },
         report_via: ReportVia::Answers,
         list_by_asking: true,
@@ -491,7 +494,8 @@
         let job = Job { id: id.to_string(), path: format!("/c/{key}"), repeat_key: None, body: Bytes::new() };
         let slots = hops::slots(class);
         let class = ClassId(class);
-        let transaction = Transaction { class, left, slots, memory: 0.0, job: Arc::new(job), identity: None };
+        let transaction =
+            Transaction { class, left, slots, memory: 0.0, tenant: None, job: Arc::new(job), identity: None };
         if self.plan.day == Day::Rude && self.rng.u32(..6) == 0 {
             let after = self.rng.u64(..600 * MS);
             self.plan_in(after, What::Hears(life, Event::Left { ticket }));
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -230,6 +230,9 @@
                 tip_multiple: 0.0,
             },
             resolution_us: 1_000,
+            tenants: Vec::new(),
+            over_share_worth: 1.0,
+            weights: Default::default(),
         };
         let endpoints = w
             .workers
