--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -105,10 +105,9 @@
 //! ```
 
 pub mod api;
-mod balance;
-mod health;
-mod order;
+mod arith;
+mod policy;
 pub mod settings;
 mod state;
 
-pub use balance::Balancer;
+pub use policy::Balancer;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,11 +1,10 @@
-//! The records that `balance.rs` keeps: plain data and averages, no decision.
+//! The records that the decisions keep: plain data, sums and averages, no decision.
 
 use crate::api::*;
-use crate::health::{Health, catch_up};
-use crate::order::Round;
+use crate::arith::{catch_up, mix};
 use std::collections::BTreeMap;
 
-/// What a balancer remembers; all of it starts empty.
+/// What a balancer remembers and believes.
 #[derive(Default)]
 pub(crate) struct Memory {
     pub(crate) workers: Vec<Worker>,
@@ -14,7 +13,9 @@
     /// Workers with our work out, or suspected; and where the round of refreshing probes stands.
     pub(crate) watched: Vec<WorkerId>,
     pub(crate) refresh_at: usize,
-    pub(crate) round: Round,
+    /// Probes saved up for it, and up to when.
+    pub(crate) round: f64,
+    pub(crate) round_at: Option<Micros>,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     pub(crate) held: Vec<RequestId>,
     pub(crate) last_request: Micros,
@@ -32,6 +33,21 @@
     pub(crate) idle_limit_until: Micros,
     /// A job is out whose start is to be told yet.
     pub(crate) waiting_start: bool,
+    pub(crate) classes: Vec<ClassBelief>,
+    pub(crate) kind_slots: Vec<f64>,
+    /// How much longer jobs run on a kind than was expected; without waits where starts are told.
+    pub(crate) kind_pace: Vec<f64>,
+    /// Mean running time and slots of what we send.
+    pub(crate) mean_run: f64,
+    pub(crate) mean_slots: f64,
+    /// Time between requests, and how long an answered probe takes, smoothed.
+    pub(crate) gap: f64,
+    pub(crate) probe_time: f64,
+    pub(crate) probe_credit: f64,
+    /// Share of its slots that others use of the mean worker, a figure for each zone.
+    pub(crate) mean_use: Vec<f64>,
+    /// The mean worker that reports.
+    pub(crate) health: Health,
 }
 
 /// The workers open to a class in the order it tries them; the first `home` are the home-zone block.
@@ -42,6 +58,7 @@
     pub(crate) home: usize,
 }
 
+#[derive(Default)]
 pub(crate) struct ClassBelief {
     pub(crate) run: f64,
     /// How many have been served: until one has, `run` is a guess.
@@ -150,6 +167,18 @@
 }
 
 impl Worker {
+    /// Books a report, and how often reports are refreshed: one that comes again unchanged has not been since.
+    pub(crate) fn note_report(&mut self, now: Micros, report: Report, period: &mut f64) {
+        let apart = now.saturating_sub(self.report_at) as f64;
+        if self.report == report && 2.0 * apart > *period {
+            *period += 0.5 * (2.0 * apart - *period);
+        } else if self.report != report && apart < *period {
+            *period -= 0.2 * (*period - apart);
+        }
+        (self.report, self.report_at) = (report, now);
+        self.note_own(now);
+    }
+
     /// Brings the average of our own slots up to now.
     pub(crate) fn note_own(&mut self, now: Micros) {
         let weight = catch_up(now.saturating_sub(self.own_at) as f64, OTHERS_SMOOTHING);
@@ -157,3 +186,142 @@
         self.own_at = now;
     }
 }
+
+impl Memory {
+    /// Before anything was seen; probes saved up for requests to come.
+    pub(crate) fn new(settings: &Settings, probe_credit: f64) -> Memory {
+        let guess = |c: &Class| ClassBelief { run: c.aim.max(1) as f64, ..ClassBelief::default() };
+        let classes: Vec<_> = settings.classes.iter().map(guess).collect();
+        Memory {
+            mean_run: classes.iter().map(|c| c.run).sum::<f64>() / classes.len() as f64,
+            classes,
+            kind_slots: vec![0.0; settings.kinds],
+            kind_pace: vec![1.0; settings.kinds],
+            mean_slots: 1.0,
+            gap: 1_000_000.0,
+            probe_time: 10_000.0,
+            probe_credit,
+            mean_use: vec![0.5; settings.zones.max(1)],
+            ..Memory::default()
+        }
+    }
+
+    /// Books that an attempt, which has started, was heard of.
+    pub(crate) fn hear(&mut self, now: Micros, id: RequestId, attempt: usize) {
+        if let Some(a) = self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(attempt)) {
+            if !a.started {
+                a.began = now;
+            }
+            (a.started, a.heard) = (true, now);
+        }
+    }
+
+    pub(crate) fn w(&self, id: WorkerId) -> &Worker {
+        &self.workers[id.0 as usize]
+    }
+
+    pub(crate) fn wm(&mut self, id: WorkerId) -> &mut Worker {
+        &mut self.workers[id.0 as usize]
+    }
+
+    /// Takes it among those that ticks look after.
+    pub(crate) fn watch(&mut self, id: WorkerId) {
+        if !std::mem::replace(&mut self.wm(id).watched, true) {
+            self.watched.push(id);
+        }
+    }
+
+    /// Books an attempt that goes out, and how long connections to its worker had been unused.
+    pub(crate) fn book(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        worker: WorkerId,
+        tells: bool,
+    ) -> Option<Micros> {
+        let r = self.requests.get_mut(&id)?;
+        let w = &mut self.workers[worker.0 as usize];
+        w.note_own(now);
+        w.own += r.slots;
+        w.own_memory += r.memory;
+        w.own_count += 1;
+        if tells {
+            w.unstarted.push(now);
+        }
+        let idle = now.saturating_sub(w.used);
+        w.used = now;
+        let (fate, started, overdue) = (Fate::Out, false, false);
+        r.attempts.push(Attempt { worker, sent: now, fate, started, heard: now, began: now, overdue, idle });
+        self.watch(worker);
+        Some(idle)
+    }
+
+    /// Books that the slots of an attempt sent then are free.
+    pub(crate) fn free(&mut self, now: Micros, worker: WorkerId, sent: Micros, slots: f64, memory: f64) {
+        let w = self.wm(worker);
+        w.unstarted.retain(|&at| at != sent);
+        w.note_own(now);
+        w.own = (w.own - slots).max(0.0);
+        w.own_memory = (w.own_memory - memory).max(0.0);
+        w.own_count = w.own_count.saturating_sub(1);
+    }
+
+    /// Drops a request that has its answer and no attempt out.
+    pub(crate) fn forget(&mut self, id: RequestId) {
+        let over = |r: &Request| r.answered && r.attempts.iter().all(|a| a.fate != Fate::Out);
+        if self.requests.get(&id).is_some_and(over) {
+            self.requests.remove(&id);
+            self.held.retain(|h| *h != id);
+        }
+    }
+
+    /// Takes in lines of the worker list; a worker that has started anew keeps only what of ours is out there.
+    pub(crate) fn merge(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
+        if matches!(kind, ListKind::Whole | ListKind::WarmCopy) {
+            for w in &mut self.workers {
+                (w.listed, w.state) = (false, WorkerState::Gone);
+            }
+        }
+        let known = self.by_id.len();
+        for e in entries {
+            let at = e.worker.0 as usize;
+            let new = || Worker { own_at: now, heard: now, ..Worker::default() };
+            self.workers.resize_with(self.workers.len().max(at + 1), new);
+            let w = &mut self.workers[at];
+            if w.listed_start != e.ready_at && e.ready_at > 0 {
+                let old = std::mem::replace(w, new());
+                (w.id, w.own, w.own_memory, w.own_count) = (old.id, old.own, old.own_memory, old.own_count);
+                (w.unstarted, w.watched, w.probe_out) = (old.unstarted, old.watched, old.probe_out);
+                (w.probe_at, w.used) = (old.probe_at, old.used);
+            }
+            if w.id.is_empty() {
+                w.id = e.id.to_string();
+                self.by_id.push(e.worker);
+            }
+            w.place = e.id.bytes().fold(0, |h, b| mix(h ^ u64::from(b)));
+            w.salt = e.id.bytes().fold(e.ready_at, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
+            (w.zone, w.kind, w.cell, w.state) = (e.zone, e.kind, e.cell, e.state);
+            (w.listed_start, w.ready_at) = (e.ready_at, w.ready_at.max(e.ready_at));
+            (w.size, w.warm, w.jobs) = (e.size, e.warm, e.jobs);
+            w.listed = e.state == WorkerState::Ready;
+        }
+        if self.by_id.len() > known {
+            let workers = &self.workers;
+            self.by_id.sort_by(|a, b| workers[a.0 as usize].id.cmp(&workers[b.0 as usize].id));
+        }
+    }
+}
+
+/// Jobs ended a second, and the share of the cores in use, on the mean.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Health {
+    pub(crate) rate: f64,
+    pub(crate) busy: f64,
+}
+
+impl Health {
+    pub(crate) fn step(&mut self, rate: f64, busy: f64, weight: f64) {
+        self.rate += weight * (rate - self.rate);
+        self.busy += weight * (busy - self.busy);
+    }
+}
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -133,6 +133,25 @@
     assert_eq!((play(1), play(20)), (vec![Some(0)], vec![Some(1)]));
 }
 
+// Guards against each of many instances having to find out by jobs of its own that a worker crawls.
+#[test]
+fn one_report_tells_a_worker_that_is_in_use_and_ends_little() {
+    let after_one = |rate, busy| {
+        let mut t = Bench::new(thin(Effect::Safe, 20), &[entry(0, 0), entry(1, 0)], 4.0);
+        let report = |rate, busy| Report { free_slots: Some(4.0), rate, busy, ..Report::default() };
+        for _ in 0..40 {
+            t.now += 500 * MS;
+            t.probed(1, Status::Ok, Some(report(Some(1.9), Some(0.9))));
+        }
+        t.probed(0, Status::Ok, Some(report(rate, busy)));
+        t.spread(1)
+    };
+    assert_eq!(after_one(Some(0.2), Some(0.9)), [Some(1)], "slow by its pace");
+    assert_eq!(after_one(Some(1.2), Some(0.9)), [Some(0)]);
+    assert_eq!(after_one(Some(0.0), Some(0.1)), [Some(0)], "idle");
+    assert_eq!(after_one(None, None), [Some(0)], "silent");
+}
+
 // Guards against all attempts of a job going to workers of a lost home zone, each after a connection that never comes up.
 #[test]
 fn a_home_zone_in_which_two_workers_are_silent_and_none_answers_is_left_at_once() {
