Decisions: no queues on workers whose slots are known, and a tenant's flood gives way

The followup is now for workers of whose slots nobody tells. A job's worth falls with the rate of its tenant over its share, by instances: which jobs are beyond the share nobody here can tell, only how many. Both tests fail without the change.

--- a/crates/decisions/src/policy/life.rs
+++ b/crates/decisions/src/policy/life.rs
@@ -17,7 +17,7 @@
 
 impl Balancer {
     pub(super) fn on_request(&mut self, now: Micros, e: Incoming, out: &mut Vec<Action>) {
-        let Incoming { request: id, class, left, slots, memory, work, tenant: _, key } = e;
+        let Incoming { request: id, class, left, slots, memory, work, tenant, key } = e;
         self.m.gap += 0.1 * (now.saturating_sub(self.m.last_request).min(1_000_000) as f64 - self.m.gap);
         self.m.last_request = now;
         self.m.probe_credit = (self.m.probe_credit + PROBES_PER_REQUEST).min(super::probes::SAVED);
@@ -28,8 +28,10 @@
         let belief = &mut self.m.classes[class.0];
         belief.most_left = belief.most_left.max(left);
         let (start, deadline) = (now.saturating_sub(belief.most_left - left), now + left);
+        let worth = self.s.classes[class.0].worth * self.share(now, tenant);
         let (attempts, answered, probes) = (Vec::new(), false, 0);
-        let r = Request { class, start, deadline, slots, memory, work, key, attempts, answered, probes };
+        let r =
+            Request { class, start, deadline, slots, memory, work, worth, key, attempts, answered, probes };
         self.m.requests.insert(id, r);
         if !matches!(self.place(now, id, false, out), Choice::Send(_)) {
             self.m.held.push(id);
--- a/crates/decisions/src/policy/placement.rs
+++ b/crates/decisions/src/policy/placement.rs
@@ -14,6 +14,8 @@
 const LIVELY: f64 = 0.33;
 /// News of a worker is taken as fresh for this share of a mean running time.
 const FRESH: f64 = 0.25;
+/// The rate of a tenant is taken over this time.
+const TENANT_RATE: f64 = 2_000_000.0;
 
 /// What the walk of the script found.
 #[derive(Clone, Copy, PartialEq)]
@@ -63,8 +65,9 @@
                 return Choice::Send(id);
             }
         }
-        // Prevents: each of many instances takes what is full for soon to be free, as no report shows queues.
-        // No followup there: what finds no room is held, and refused when it is too late to start.
+        // The followup is for workers of whose slots nobody tells. Prevents: jobs that may wait long fill the
+        // queues of all others, and those that may not, though worth more for a slot's time, never meet a free
+        // slot. What finds no room is held, and refused when it is too late to start.
         let soon = |w| self.able(now, w, r, allowed) && self.starts_soon(now, self.m.w(w), r);
         let all = self.tags[r.class.0].script.iter().map(|&(_, w)| w);
         all.filter(|_| last && cross && !thin).find(|&w| soon(w)).map_or(Choice::Nobody, Choice::Send)
@@ -116,7 +119,17 @@
 
     /// Worth for a slot's time.
     fn value(&self, r: &Request) -> f64 {
-        self.s.classes[r.class.0].worth / (r.slots * r.work.map_or(self.m.classes[r.class.0].run, |_| 1.0))
+        r.worth / (r.slots * r.work.map_or(self.m.classes[r.class.0].run, |_| 1.0))
+    }
+
+    /// What part of its worth a request of this tenant keeps: which ones are beyond its share nobody here can
+    /// tell, only how many. Prevents: the flood of one tenant takes the slots of all others.
+    pub(super) fn share(&mut self, now: Micros, tenant: Option<TenantId>) -> f64 {
+        let over = self.s.over_share_worth;
+        let Some(TenantId(t)) = tenant else { return if self.s.tenants.is_empty() { 1.0 } else { over } };
+        let quota = self.s.tenants[t].quota / self.s.instances as f64;
+        let inside = (quota / self.m.rate(now, t, TENANT_RATE)).min(1.0);
+        inside + (1.0 - inside) * over
     }
 
     /// Places held requests, most worth for a slot's time first, and ends those that are too late.
--- a/crates/decisions/src/policy/validity.rs
+++ b/crates/decisions/src/policy/validity.rs
@@ -98,12 +98,16 @@
         w.unstarted.first().is_some_and(|&sent| now > sent.max(self.m.awake) + self.prompt())
     }
 
-    /// The followup's looser test: it would start while that still meets the aim.
+    /// The followup's looser test, for workers of whose slots nobody tells: it would start while that still
+    /// meets the aim.
     pub(super) fn starts_soon(&self, now: Micros, w: &Worker, r: &Request) -> bool {
         let wait = -self.room(now, w, r) * self.m.mean_run / self.slots_of(w, r);
         let latest = self.latest_start(r) as f64 - self.s.classes[r.class.0].aim as f64 / 2.0;
         // Prevents: a job sent to a worker that keeps no queue is turned away, and closes it for a while.
-        w.jobs.is_none() && !self.has_queue(now, w) && now as f64 + wait <= latest
+        w.jobs.is_none()
+            && self.m.kind_slots[w.kind.0] == 0.0
+            && !self.has_queue(now, w)
+            && now as f64 + wait <= latest
     }
 
     pub(super) fn expected_run(&self, r: &Request) -> f64 {
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -18,6 +18,8 @@
     pub(crate) round_at: Option<Micros>,
     pub(crate) requests: BTreeMap<RequestId, Request>,
     pub(crate) held: Vec<RequestId>,
+    /// For each tenant the rate of its requests here, and up to when.
+    pub(crate) rates: Vec<(f64, Micros)>,
     pub(crate) last_request: Micros,
     /// When one that may be repeated last came.
     pub(crate) last_safe: Micros,
@@ -135,6 +137,8 @@
     pub(crate) slots: f64,
     pub(crate) memory: f64,
     pub(crate) work: Option<Micros>,
+    /// What answering it in time is worth, as far as its tenant's share goes.
+    pub(crate) worth: f64,
     pub(crate) key: Option<u64>,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) answered: bool,
@@ -202,10 +206,19 @@
             probe_time: 10_000.0,
             probe_credit,
             mean_use: vec![0.5; settings.zones.max(1)],
+            rates: vec![(0.0, 0); settings.tenants.len()],
             ..Memory::default()
         }
     }
 
+    /// Requests a second of a tenant, this one included, averaged over this time (µs).
+    pub(crate) fn rate(&mut self, now: Micros, tenant: usize, over: f64) -> f64 {
+        let (rate, at) = &mut self.rates[tenant];
+        *rate = *rate * (-(now.saturating_sub(*at) as f64) / over).exp() + 1e6 / over;
+        *at = now;
+        *rate
+    }
+
     /// Books that an attempt, which has started, was heard of.
     pub(crate) fn hear(&mut self, now: Micros, id: RequestId, attempt: usize) {
         if let Some(a) = self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(attempt)) {
--- a/crates/decisions/tests/decisions.rs
+++ b/crates/decisions/tests/decisions.rs
@@ -541,39 +541,22 @@
     assert_eq!(t.spread(1), [Some(0)]);
 }
 
+// Guards against a queue that a report showed being believed after a job of ours has started past it.
 #[test]
-fn a_prompt_start_proves_room_that_an_old_report_denies() {
+fn a_prompt_start_proves_that_no_queue_is_left() {
     let mut s = settings(Effect::Safe);
-    s.tells_start = true;
-    s.my_zone = None;
+    (s.tells_start, s.probes) = (true, false);
     let mut t = Bench::new(s, &[entry(0, 0)], 4.0);
-    let (request, _) = t.ask(0, 1.0);
-    t.now += 1_000 * MS;
-    t.report(0, 0.0);
-    let (request2, worker) = (RequestId(50), WorkerId(0));
-    t.event(Event::Outcome(Outcome {
-        request,
-        attempt: 0,
-        worker,
-        status: Status::Ok,
-        latency: 900 * MS,
-        closed: true,
-        report: None,
-    }));
-    let e = Event::Request(Incoming {
-        request: request2,
-        class: ClassId(0),
-        left: 5_000 * MS,
-        slots: 1.0,
-        memory: 0.0,
-        work: None,
-        tenant: None,
-        key: None,
-    });
-    assert_eq!(sent(&t.event(e)), Some(0));
+    t.now += 5_000 * MS;
+    let (request, out) = t.arrives(0, 1.0);
+    assert_eq!(sent(&out), Some(0));
     t.now += 5 * MS;
-    t.event(Event::Note(Progress { request: request2, attempt: 0, worker, note: Note::Started }));
-    assert_eq!(t.spread(3), [Some(0), Some(0), Some(0)]);
+    let report = Report { free_slots: Some(0.0), waiting: Some(6.0), ..Report::default() };
+    t.probed(0, Status::Ok, Some(report));
+    let started = Progress { request, attempt: 0, worker: WorkerId(0), note: Note::Started };
+    t.event(Event::Note(started));
+    t.served(request, 0, 5 * MS);
+    assert_eq!(sent(&t.arrives(0, 1.0).1), Some(0));
 }
 
 #[test]
@@ -712,3 +695,33 @@
         assert!(if sends == 20 { went == 20 } else { went <= 5 }, "{warm} {tip}: {went}");
     }
 }
+
+// Guards against the flood of one tenant taking the slots of all others, and against work that belongs to none of them
+// being served before theirs.
+#[test]
+fn what_is_beyond_a_tenants_share_gives_way_first() {
+    let first_of = |flood: Option<TenantId>, tenants: Vec<Tenant>| {
+        let mut s = settings(Effect::Safe);
+        let shared = !tenants.is_empty();
+        (s.tenants, s.over_share_worth, s.classes[0].aim) = (tenants, 0.1, 2_000 * MS);
+        let mut t = Bench::new(s, &[entry(0, 0)], 1.0);
+        t.tenant = flood;
+        let (running, _) = t.ask(0, 1.0);
+        let before: Vec<_> = (0..30).map(|_| t.arrives(0, 1.0).0).collect();
+        t.tenant = shared.then_some(TenantId(1));
+        let (late, _) = t.arrives(0, 1.0);
+        t.now += 5 * MS;
+        t.report(0, 1.0);
+        let out = t.served(running, 0, 50 * MS);
+        let next = out.iter().find_map(|a| match a {
+            Action::Send { request, .. } => Some(*request),
+            _ => None,
+        });
+        (next == Some(late), next == Some(before[0]))
+    };
+    let two = vec![Tenant { quota: 0.5 }; 2];
+    assert_eq!(first_of(Some(TenantId(0)), two.clone()), (true, false), "a flood");
+    assert_eq!(first_of(None, two.clone()), (true, false), "of no tenant");
+    assert_eq!(first_of(Some(TenantId(1)), two), (false, true), "in the order of its coming");
+    assert_eq!(first_of(None, vec![]), (false, true), "where there are no tenants");
+}
--- a/crates/decisions/tests/fleet.rs
+++ b/crates/decisions/tests/fleet.rs
@@ -16,9 +16,10 @@
     }
 }
 
-// Guards against each of many instances queueing jobs on a full worker, whose reports do not show the queue.
+// Guards against jobs that may wait long in the queues of full workers, where those worth more never meet a free slot;
+// and against each of many instances adding to a queue that no report shows.
 #[test]
-fn what_finds_no_room_is_held_and_not_queued_on_a_full_worker_of_a_large_fleet() {
+fn what_finds_no_room_is_held_and_not_queued_on_a_full_worker() {
     let play = |instances| {
         let mut t = Bench::new(thin(Effect::Unsafe, instances), &[entry(0, 0)], 4.0);
         reports(&mut t, 0, |_| 0.0);
@@ -27,8 +28,8 @@
         out.extend(t.pass(1_000 * MS, &[0]));
         (sent(&out), refused(&out, request))
     };
-    assert_eq!(play(1), (Some(0), false), "alone, the followup expects it to be free soon");
-    assert_eq!(play(20), (None, true), "among many it is told in time that nobody has room");
+    assert_eq!(play(1), (None, true), "it is told in time that nobody has room");
+    assert_eq!(play(20), (None, true), "among many as well");
 }
 
 // Guards against many instances sending to the one free slot that all of them read of.
