Core: a stop is over before its end is forced, however short the deadlines are

Cause: `STOP_SERVES` 2 s and `STOP_ANSWERS` 3.4 s were written for an end that is forced 3.7 s after the call. It is forced 0.7 s after the longest deadline where that is under 3 s: with deadlines of 1 s after 1.7 s, while connections are still served. And what crossed with the closing of connections had its whole deadline, as the cap held before the closing only.

Ruled out: both known deployments have deadlines of 5 s and more, so their times stay at 2 s and 3.4 s.

The time comes from the classes now, and the cap holds until the end. A test in crates/core/tests/core.rs plays longest deadlines of 1, 2 and 15 s; seen to fail with the fixed times.

--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -15,11 +15,14 @@
 const ANSWER_MARGIN: Micros = 10_000;
 /// After a call to stop, clients still come for this long that have not heard of it.
 const CROSSING: Micros = 600_000;
-/// And use the connections that they have for as long as these stay open. While another dispatcher restarts there
-/// may be no other, so they stay open for this long; what comes after the crossing time has its answer within the
-/// second time, for the end may be forced soon after.
-const STOP_SERVES: Micros = 2_000_000;
-const STOP_ANSWERS: Micros = 3_400_000;
+/// And use the connections that they have for as long as these stay open. The end is forced no sooner than so long
+/// after the longest deadline, of which no more than the second time counts.
+const FORCED_AFTER: Micros = 700_000;
+const FORCED_DEADLINE: Micros = 3_000_000;
+/// While another dispatcher restarts there may be no other, so connections stay open until this long before the end
+/// is forced; what comes after the crossing time has its answer this long before it.
+const STOP_CLOSES: Micros = 1_700_000;
+const STOP_ANSWERS: Micros = 300_000;
 /// Prevents: next hops that answer probes at once make the decisions wake up without pause.
 const WAKE_LEAST: Micros = 1_000;
 /// How long kept connections are distrusted after one was found dead.
@@ -49,6 +52,8 @@
     wake_at: Option<Micros>,
     alarm: Option<Micros>,
     drain: Drain,
+    /// How long after a call to stop the end may be forced.
+    forced: Micros,
     ready: bool,
     last_id: u64,
     pending: VecDeque<Told>,
@@ -66,7 +71,7 @@
 enum Drain {
     Serving,
     Crossing { since: Micros },
-    Closing { fronts_closed: bool },
+    Closing { since: Micros, fronts_closed: bool },
     Over,
 }
 
@@ -103,6 +108,9 @@
             distrust_until: 0,
             once: settings.classes.iter().map(|c| c.effect == api::Effect::Unsafe).collect(),
             longest: settings.classes.iter().map(|c| c.deadline).collect(),
+            // Prevents: where all deadlines are short, the end comes before connections are closed.
+            forced: FORCED_AFTER
+                + settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).min(FORCED_DEADLINE),
             balancer: Balancer::new(settings, seed)?,
             routes: RouteSet::default(),
             discovery: None,
@@ -151,17 +159,18 @@
             Event::Due => self.due(now, &mut out),
             Event::Terminate if self.drain == Drain::Serving => {
                 self.drain = Drain::Crossing { since: now };
-                self.timers.insert((now + STOP_SERVES, Timer::Crossed));
+                let serves = self.forced.saturating_sub(STOP_CLOSES).max(CROSSING);
+                self.timers.insert((now + serves, Timer::Crossed));
             }
             Event::Terminate => {}
             Event::FrontsClosed => {
-                if let Drain::Closing { fronts_closed } = &mut self.drain {
+                if let Drain::Closing { fronts_closed, .. } = &mut self.drain {
                     *fronts_closed = true;
                 }
             }
         }
         self.settle(now, &mut out);
-        if self.drain == (Drain::Closing { fronts_closed: true }) && self.tickets.is_empty() {
+        if matches!(self.drain, Drain::Closing { fronts_closed: true, .. }) && self.tickets.is_empty() {
             self.drain = Drain::Over;
             out.push(Effect::Exit);
         }
@@ -338,7 +347,9 @@
         // Prevents: one client that would wait for a day makes all others look as if they had waited that long.
         let left = t.left.min(self.longest.get(t.class.0).copied().unwrap_or(t.left));
         let deadline = match self.drain {
-            Drain::Crossing { since } if now > since + CROSSING => (now + left).min(since + STOP_ANSWERS),
+            Drain::Crossing { since } | Drain::Closing { since, .. } if now > since + CROSSING => {
+                (now + left).min(since + self.forced.saturating_sub(STOP_ANSWERS))
+            }
             _ => now.saturating_add(left),
         };
         self.timers.insert((deadline.saturating_sub(ANSWER_MARGIN), Timer::Transaction(request)));
@@ -476,7 +487,9 @@
                     self.tell(api::Event::Gone { request });
                 }
                 Timer::Crossed => {
-                    self.drain = Drain::Closing { fronts_closed: false };
+                    if let Drain::Crossing { since } = self.drain {
+                        self.drain = Drain::Closing { since, fronts_closed: false };
+                    }
                     out.push(Effect::CloseFronts);
                 }
             }
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -203,6 +203,29 @@
     assert_eq!(answers(&stage.pass(1_700 * MS)).len(), 1);
 }
 
+// Guards against an end that is forced while connections are still served: it comes the sooner the shorter the
+// deadlines are, and two seconds of serving are past it where the longest is one second.
+#[test]
+fn where_deadlines_are_short_a_stop_is_over_before_its_end_is_forced() {
+    for (deadline, closes, answered) in [(1_000, 600, 1_400), (2_000, 1_000, 2_400), (15_000, 2_000, 3_400)] {
+        let mut class = common::class(api::Effect::Unsafe);
+        class.deadline = deadline * MS;
+        let settings = Settings { probes: false, classes: vec![class], ..settings(api::Effect::Unsafe) };
+        let core = Core::new(settings, 7, Retention::default()).unwrap();
+        let mut stage = Stage { core, now: START };
+        let lines = vec![hop("a", WorkerState::Ready)];
+        stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(lines) });
+        stage.tell(Event::Terminate);
+        assert!(!stage.pass((closes - 20) * MS).contains(&Effect::CloseFronts), "{deadline}");
+        let mut all = stage.pass(40 * MS);
+        assert!(all.contains(&Effect::CloseFronts), "{deadline}");
+        // A request that crossed with the close, and is not done in time.
+        all = stage.submit(1, deadline * MS);
+        all.extend(stage.pass((answered - closes - 20) * MS));
+        assert_eq!(answers(&all).len(), 1, "{deadline}: {all:?}");
+    }
+}
+
 // Guards against an end that loses what was taken, and against one that never comes.
 #[test]
 fn a_stop_waits_for_the_crossing_and_for_what_is_owed() {
