Discovery: an agent that lists are pushed to is called at once, whatever the fleet's size

Cause: the first call was drawn from 50 ms for each instance, since discovery is one overbooked service. Where lists are pushed the address is an agent's on the dispatcher's own machine, which answers at once and at no cost, and what it has counts as told from the first moment of a process. Of 300 instances the first call came up to 15 s late, past the 0.5 s of a drain; with 3 instances it was within 150 ms, by luck.

Ruled out: asked discovery, whose pace is unchanged (`Pace::new`, three tests).

`Pace::of` takes the settings: pushed, no wait at the start or after a new configuration, and 50 to 200 ms after an end. A call there is given up after 1 s in place of 2.5 s: the agent answers at once or, while discovery is down, not at all.

--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -12,7 +12,7 @@
 use pace::Pace;
 use pumiceway_core::{NextHop, Reach, RouteNews, Source};
 use pumiceway_decisions::api::{Micros, WorkerState};
-use pumiceway_decisions::settings::Conf;
+use pumiceway_decisions::settings::{Conf, Discovery};
 use serde::Deserialize;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,6 +23,8 @@
 
 /// A call is answered within this time or has failed.
 const CALL: Duration = Duration::from_millis(2_500);
+/// An agent on this machine answers at once or, while it has nothing to tell, not at all: it is soon asked anew.
+const AGENT_CALL: Duration = Duration::from_secs(1);
 /// Discovery sends a line every 2 s. One that is missing for this long tells that the watch is lost.
 const SILENCE: Duration = Duration::from_millis(2_500);
 /// A line of a watch may be this long.
@@ -145,9 +147,8 @@
     pub async fn run(mut self) {
         // Prevents: a watch from nowhere begins with what changes next, and a second call has to ask for the list.
         let mut list_first = self.index.is_none();
-        let ask_within = Duration::from_micros(self.conf.rules.ask_within_us);
-        let mut pace = Pace::new(self.conf.n_instances, ask_within);
-        // Prevents: dispatchers that start together call together, and most of them wait in vain.
+        let mut pace = Pace::of(&self.conf);
+        // Prevents: dispatchers that start together call one service together, and most of them wait in vain.
         let draw = fastrand::f64();
         sleep(if self.moved { pace.first_moved(draw) } else { pace.first(draw) }).await;
         loop {
@@ -176,7 +177,7 @@
         let mut sender = self.connect().await?;
         if list_first {
             let mut body = self.call(&mut sender, "/api/targets").await?;
-            let (mut text, end) = (Vec::new(), Instant::now() + CALL);
+            let (mut text, end) = (Vec::new(), Instant::now() + self.patience());
             while let Some(frame) = next(&mut body, end).await? {
                 text.extend_from_slice(&frame);
                 check_length(&text)?;
@@ -228,9 +229,17 @@
         self.tell.send((Source::Discovery, news)).map_err(|_| Broken::Unheard)
     }
 
+    /// How long a call is waited for.
+    fn patience(&self) -> Duration {
+        match self.conf.discovery {
+            Discovery::Subscribe => CALL,
+            Discovery::Automatic => AGENT_CALL,
+        }
+    }
+
     async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, Broken> {
         let ended = |e: &dyn std::fmt::Display| Broken::Ended(format!("cannot connect: {e}"));
-        let stream = timeout(CALL, TcpStream::connect(&self.address)).await;
+        let stream = timeout(self.patience(), TcpStream::connect(&self.address)).await;
         let stream = stream.map_err(|e| ended(&e))?.map_err(|e| ended(&e))?;
         let _ = stream.set_nodelay(true);
         let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
@@ -245,7 +254,7 @@
             .header("Host", &self.address)
             .body(Empty::new())
             .map_err(|e| Broken::Ended(format!("cannot ask: {e}")))?;
-        match timeout(CALL, sender.send_request(request)).await {
+        match timeout(self.patience(), sender.send_request(request)).await {
             Ok(Ok(answer)) if answer.status().is_success() => Ok(answer.into_body()),
             Ok(Ok(answer)) => Err(Broken::Ended(format!("answered {}", answer.status()))),
             Ok(Err(e)) => Err(Broken::Ended(format!("call failed: {e}"))),
--- a/crates/net/src/discovery/pace.rs
+++ b/crates/net/src/discovery/pace.rs
@@ -1,7 +1,11 @@
-//! When to call discovery. It is one service for all dispatchers and works through calls in turn; one that has
-//! waited too long has failed, but is worked through all the same. So a fleet that calls faster than it is
-//! served is never served again: the pace has to come from the callers, who do not know of each other.
+//! When to call discovery. Where it is asked, it is one service for all dispatchers and works through calls in turn;
+//! one that has waited too long has failed, but is worked through all the same. So a fleet that calls faster than it
+//! is served is never served again: the pace has to come from the callers, who do not know of each other.
+//!
+//! Where lists are pushed, the address is that of an agent beside this dispatcher alone. It answers at once and at no
+//! cost, and what it has counts as told whether it was asked or not: nothing is gained by waiting.
 
+use pumiceway_decisions::settings::{Conf, Discovery};
 use std::time::Duration;
 
 /// All dispatchers together call this often when they all begin at once: each draws its time from as many of
@@ -15,6 +19,8 @@
 const LEAST: Duration = Duration::from_millis(50);
 /// Each failure in a row doubles the time that is drawn from, up to this many times its beginning.
 const DOUBLINGS: u32 = 3;
+/// An agent is called again within this many times the least wait, however often it has failed.
+const AGENT_MOST: u32 = 4;
 /// A watch that has stood for so long counts as served, whether anything changed or not.
 const STOOD: Duration = Duration::from_millis(2_500);
 
@@ -24,9 +30,23 @@
     spread: Duration,
     most: Duration,
     failures: u32,
+    agent: bool,
 }
 
 impl Pace {
+    /// What the settings ask for. Prevents: a dispatcher among many leaves what its own agent has unread for seconds,
+    /// as if it shared the agent with all of them, and sends to what counts as told to be gone.
+    pub fn of(conf: &Conf) -> Pace {
+        match conf.discovery {
+            Discovery::Subscribe => {
+                Pace::new(conf.n_instances, Duration::from_micros(conf.rules.ask_within_us))
+            }
+            Discovery::Automatic => {
+                Pace { spread: Duration::ZERO, most: Duration::ZERO, failures: 0, agent: true }
+            }
+        }
+    }
+
     /// For one of this many dispatchers, which counts as told after `ask_within` without a call (zero: never).
     ///
     /// Prevents: a large fleet draws from so long a time that a dispatcher counts as told before it has asked, and
@@ -35,7 +55,8 @@
         let each = EACH * u32::try_from(instances.clamp(2, 1 << 20)).unwrap_or(1 << 20);
         let told = if ask_within.is_zero() { Duration::MAX } else { ask_within };
         let spread = each.min(told / 2);
-        Pace { spread, most: spread.saturating_mul(1 << DOUBLINGS).min(told), failures: 0 }
+        let most = spread.saturating_mul(1 << DOUBLINGS).min(told);
+        Pace { spread, most, failures: 0, agent: false }
     }
 
     /// The wait before the first call; `draw` is uniform from 0 to 1.
@@ -52,6 +73,10 @@
     /// The wait before the next call, when one has ended after `lasted`; `served` when it brought news.
     pub fn next(&mut self, lasted: Duration, served: bool, draw: f64) -> Duration {
         self.failures = if served || lasted > STOOD { 0 } else { (self.failures + 1).min(DOUBLINGS) };
+        if self.agent {
+            // Prevents: an agent that is not up yet is called without pause.
+            return LEAST * (1 << self.failures.saturating_sub(1)).min(AGENT_MOST);
+        }
         // Prevents: what is told between two watches counts as told before the second begins.
         let spread = match self.failures {
             0 => self.spread.min(TOLD / 2),
@@ -127,6 +152,28 @@
         }
     }
 
+    // Guards against a dispatcher of a large fleet that calls its own agent as late as one that all share: what the
+    // agent has counts as told from the first moment of a new process on, and the grace of a drain is half a second.
+    #[test]
+    fn an_agent_of_its_own_is_called_at_once_however_large_the_fleet() {
+        let conf = |discovery: &str, instances: usize| -> Conf {
+            let text = format!(
+                r#"{{"lanes":[],"limits":{{"most-tries":1}},"rules":{{"ask-within-us":10000000}},
+                "discovery":"{discovery}","n-instances":{instances}}}"#
+            );
+            serde_json::from_str(&text).unwrap()
+        };
+        for instances in [1, 3, 300, 10_000] {
+            let mut pace = Pace::of(&conf("automatic", instances));
+            assert_eq!((pace.first(1.0), pace.first_moved(1.0)), (Duration::ZERO, Duration::ZERO));
+            let again = (0..9).map(|_| pace.next(Duration::ZERO, false, 1.0)).max().unwrap_or_default();
+            assert!((LEAST..Duration::from_millis(250)).contains(&again), "{again:?}");
+            assert_eq!(pace.next(STOOD * 2, false, 1.0), LEAST);
+        }
+        let asked = Pace::of(&conf("subscribe", 300));
+        assert_eq!(asked.first(1.0), Pace::new(300, Duration::from_secs(10)).first(1.0));
+    }
+
     #[test]
     fn a_small_site_hears_again_at_once_and_waits_are_bounded() {
         for instances in [0, 1, 3] {
