Net: what held by luck of the first site comes from the settings, with tests for both kinds

Not kept: `X-Org` that came twice or was not text got 400 where the settings name no tenants. By luck: a probe was given up after 500 ms, which is twice a connect timeout of 250 ms; where connections may take 1 s each probe that opened one failed. It now gets 250 ms beyond that time, 500 ms at least, so both known deployments keep theirs. Settings that can be read and not work name their key (`my-zone`, `me`, `lanes`, `most-tries`) in place of `settings`.

Kept, and untested so far: tenants, load reports in every ending of an attempt, keys of Gearman jobs, further figures; and the settings of both kinds of deployment in each respect.

--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -2,8 +2,8 @@
 
 use crate::discovery::Listing;
 pub use pumiceway_core::Retention;
-use pumiceway_decisions::api::{ClassId, Micros, Settings};
-use pumiceway_decisions::settings::Conf;
+use pumiceway_decisions::api::{ClassId, Micros, Settings, SettingsError};
+use pumiceway_decisions::settings::{Conf, ConfError};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::collections::{BTreeMap, BTreeSet};
@@ -38,6 +38,18 @@
     ConfigError::Key { key: key.to_owned(), why: why.to_string() }
 }
 
+/// Settings that can be read and cannot work, by the key at fault where there is one.
+fn unusable(e: ConfError) -> ConfigError {
+    let key = match &e {
+        ConfError::UnknownZone(_) => "settings.my-zone",
+        ConfError::Unusable(SettingsError::NoClasses) => "settings.lanes",
+        ConfError::Unusable(SettingsError::NoAttempts) => "settings.limits.most-tries",
+        ConfError::Unusable(SettingsError::OutOfRange { what: "instance", .. }) => "settings.me",
+        _ => "settings",
+    };
+    bad(key, e)
+}
+
 /// The configuration file of the platform, as written.
 #[derive(Deserialize)]
 struct Written {
@@ -246,7 +258,7 @@
         if written.limits.memory_mb < 32 {
             return Err(bad("limits.memory_mb", "less than 32"));
         }
-        let settings = written.settings.settings().map_err(|e| bad("settings", e))?;
+        let settings = written.settings.settings().map_err(unusable)?;
         Ok(Config {
             name: env("ROUTER_NAME").or(written.name).unwrap_or_else(|| "pumiceway".to_owned()),
             listen,
@@ -273,7 +285,7 @@
         known: Listing,
         (sockets, memory_mb): (usize, u64),
     ) -> Result<Config, ConfigError> {
-        let settings = conf.settings().map_err(|e| bad("settings", e))?;
+        let settings = conf.settings().map_err(unusable)?;
         Ok(Config {
             name,
             listen,
--- a/crates/net/src/front/http.rs
+++ b/crates/net/src/front/http.rs
@@ -224,9 +224,13 @@
     }
     let left = left.parse().unwrap_or(LEFT_MOST_MS).min(LEFT_MOST_MS) as Micros * 1_000;
     // Prevents: work of a name that is mistyped counts for nobody, and gives way to all others unnoticed.
-    let tenant = match header(headers, "x-org")?.filter(|_| !conf.tenants.is_empty()) {
-        Some(name) => Some(conf.tenant(name).ok_or(malformed("unknown tenant"))?),
-        None => None,
+    // Where nobody shares the workers the header means nothing, and is not read.
+    let tenant = match conf.tenants.is_empty() {
+        true => None,
+        false => match header(headers, "x-org")? {
+            Some(name) => Some(conf.tenant(name).ok_or(malformed("unknown tenant"))?),
+            None => None,
+        },
     };
     let (mut slots, mut memory) = (1.0, 0.0);
     for label in header(headers, "x-labels")?.unwrap_or_default().split(',').filter(|l| !l.trim().is_empty())
--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -20,8 +20,9 @@
 use tokio::time::timeout;
 use tracing::warn;
 
-/// A probe is answered within this time or has failed.
+/// A probe is answered within this time or has failed, and within the second one of its connection's coming up.
 const PROBE: Duration = Duration::from_millis(500);
+const PROBE_ANSWER: Duration = Duration::from_millis(250);
 /// A line of an answer may be this long, and a load report.
 const LINE_MOST: usize = 1 << 20;
 const REPORT_MOST: usize = 16 << 10;
@@ -35,6 +36,8 @@
     pub connect: Duration,
     /// An idle connection is closed after this time.
     pub idle: Duration,
+    /// A probe is given up after this time.
+    pub probe: Duration,
     /// At most this many idle connections to one next hop.
     pub most_idle: usize,
 }
@@ -44,10 +47,13 @@
     pub fn new(conf: &Conf, sockets: &Sockets) -> Keeping {
         let or = |us, default| Duration::from_micros(if us == 0 { default } else { us });
         let connect = or(conf.limits.connect_timeout_us, 1_000_000);
+        // Prevents: a branch waits for its connection while its next hop begins to drain, and is written to it after
+        // the grace is over.
+        let connect = connect.min(or(conf.rules.drain_grace_us / 2, 1_000_000));
         Keeping {
-            // Prevents: a branch waits for its connection while its next hop begins to drain, and is written
-            // to it after the grace is over.
-            connect: connect.min(or(conf.rules.drain_grace_us / 2, 1_000_000)),
+            connect,
+            // Prevents: where connections may take long to come up, each probe that opens one takes its next hop out.
+            probe: PROBE.max(connect + PROBE_ANSWER),
             // Prevents: a request is written to a connection that the other side has just dropped as idle.
             idle: or(conf.limits.conn_idle_us * 2 / 3, 5_000_000),
             most_idle: (sockets.idle / 32).max(2),
@@ -62,6 +68,7 @@
     /// Opens a connection for each request.
     fresh: Client<Connector, Full<Bytes>>,
     address: String,
+    probe: Duration,
 }
 
 /// A line of an answer.
@@ -156,7 +163,12 @@
                 .pool_max_idle_per_host(most_idle)
                 .build(Connector { patience: keeping.connect })
         };
-        Hop { client: client(keeping.most_idle), fresh: client(0), address: address.to_owned() }
+        Hop {
+            client: client(keeping.most_idle),
+            fresh: client(0),
+            address: address.to_owned(),
+            probe: keeping.probe,
+        }
     }
 
     /// Its address.
@@ -225,7 +237,7 @@
                 told => told,
             }
         };
-        let (status, _, report) = timeout(PROBE, asked).await.unwrap_or((Status::Timeout, false, None));
+        let (status, _, report) = timeout(self.probe, asked).await.unwrap_or((Status::Timeout, false, None));
         (status, report)
     }
 
@@ -402,6 +414,16 @@
         assert_eq!(keeping(100_000).connect, Duration::from_millis(50));
         assert_eq!(keeping(0).connect, Duration::from_millis(250));
         assert_eq!(keeping(0).idle, Duration::from_secs(10));
+        assert_eq!(keeping(500_000).probe, Duration::from_millis(500));
+    }
+
+    // Guards against a site whose connections may take a second: each probe that opened one was over before it.
+    #[test]
+    fn a_probe_is_waited_for_longer_than_its_connection_may_take() {
+        let text = r#"{"lanes":[],"limits":{"most-tries":1,"connect-timeout-us":1000000},"rules":{}}"#;
+        let sockets = Sockets { inbound: 1, spare: 1, idle: 320 };
+        let keeping = Keeping::new(&serde_json::from_str(text).unwrap(), &sockets);
+        assert!(keeping.probe > keeping.connect, "{keeping:?}");
     }
 
     #[test]
@@ -413,6 +435,75 @@
         assert_eq!(free("{"), None);
     }
 
+    /// Hears how a branch ended.
+    struct Ends(std::sync::mpsc::Sender<(Ending, Option<Report>)>);
+
+    impl Teller for Ends {
+        fn news(&self, _: News) {}
+
+        fn ended(&mut self, ending: Ending, report: Option<Report>) {
+            self.0.send((ending, report)).unwrap();
+        }
+    }
+
+    // Guards against a report that is lost because of how its attempt ended.
+    #[test]
+    fn whatever_ends_an_attempt_may_bring_a_load_report() {
+        use std::io::{Read, Write};
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let line = |state: &str| {
+            let load = r#""load":{"inflight":7,"queue":2,"util":0.61,"qps":5,"eps":0,"x0":3,"x1":4}"#;
+            let line = format!("{{\"id\":\"t\",\"from\":\"w\",\"state\":\"{state}\",{load}}}\n");
+            let length = line.len();
+            format!("200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{length:x}\r\n{line}\r\n0\r\n\r\n")
+        };
+        let head = |status: &str| {
+            format!(
+                "{status}\r\nX-Pressure: inflight=7,queue=2, util=0.61,qps=5,eps=0,x0=3,x1=4\r\nContent-Length: 0\r\n\r\n"
+            )
+        };
+        let answers = [
+            (line("done"), Ending::Served(Bytes::new())),
+            (line("failed"), Ending::Error),
+            (line("returned"), Ending::TurnedAway),
+            (line("lost"), Ending::Reset),
+            (head("503 X\r\nX-Turned-Away: 1"), Ending::TurnedAway),
+            (head("504 X\r\nX-Turned-Away: 1"), Ending::TurnedAway),
+            (head("500 X"), Ending::Error),
+        ];
+        let texts: Vec<String> = answers.iter().map(|(text, _)| format!("HTTP/1.1 {text}")).collect();
+        let server = std::thread::spawn(move || {
+            let mut stream = listener.accept().unwrap().0;
+            for text in texts {
+                assert!(stream.read(&mut [0; 4096]).unwrap() > 0);
+                stream.write_all(text.as_bytes()).unwrap();
+            }
+        });
+        let (tell, ends) = std::sync::mpsc::channel();
+        let limit = Duration::from_secs(2);
+        let keeping = Keeping { connect: limit, idle: limit, probe: limit, most_idle: 2 };
+        let report = Report {
+            in_flight: Some(7.0),
+            waiting: Some(2.0),
+            free_slots: Some(3.0),
+            free_memory: Some(4.0),
+            rate: Some(5.0),
+            busy: Some(0.61),
+        };
+        let job = Job { id: "t".into(), path: "/c".into(), repeat_key: None, body: Bytes::new() };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let hop = Hop::new(&address, keeping);
+            for (text, ending) in answers {
+                let (_branch, drive) = hop.branch(&job, limit, false, Ends(tell.clone())).unwrap();
+                drive.await;
+                assert_eq!(ends.try_recv().unwrap(), (ending, Some(report)), "{text}");
+            }
+        });
+        server.join().unwrap();
+    }
+
     // Guards against a next hop that is taken out because it dropped a connection that nobody used.
     #[test]
     fn a_probe_on_a_kept_connection_that_was_dropped_asks_again_on_a_fresh_one() {
@@ -434,7 +525,7 @@
         let (connect, idle) = (Duration::from_secs(2), Duration::from_secs(2));
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         runtime.block_on(async {
-            let hop = Hop::new(&address, Keeping { connect, idle, most_idle: 2 });
+            let hop = Hop::new(&address, Keeping { connect, idle, probe: PROBE, most_idle: 2 });
             for _ in 0..2 {
                 let (status, report) = hop.probe().await;
                 assert_eq!((status, report.and_then(|r| r.free_slots)), (Status::Ok, Some(2.0)));
--- a/crates/net/tests/deployments.rs
+++ b/crates/net/tests/deployments.rs
@@ -64,3 +64,149 @@
                d expect 200 1";
     play(&["w1"], &script);
 }
+
+/// The same with more keys.
+fn settings(more: &str) -> String {
+    SETTINGS.replacen('{', &format!("{{{more},"), 1)
+}
+
+const TENANTS: &str = r#""tenants":[{"name":"acme","quota-per-s":9},{"name":"other","quota-per-s":9}]"#;
+
+fn of(org: &str, id: &str) -> String {
+    format!(
+        r"raw POST /lookup/k HTTP/1.1\r\nX-Txn: {id}\r\nX-Remaining-Ms: 5000\r\n{org}Content-Length: 0\r\n\r\n"
+    )
+}
+
+// Guards against work that counts for nobody: a tenant that is mistyped, or one of two.
+#[test]
+fn a_tenant_that_the_settings_lack_or_that_comes_twice_reaches_no_next_hop() {
+    let mut script = String::new();
+    for (n, org) in
+        ["X-Org: acne", "X-Org:", "X-Org: acme\\r\\nX-Org: acme", "X-Org: acme,other"].iter().enumerate()
+    {
+        script += &format!(
+            "c{n} send {}\n c{n} expect 400\n c{n} expect end\n",
+            of(&format!("{org}\\r\\n"), &format!("t{n}"))
+        );
+    }
+    // The first that a next hop sees is one that can be used.
+    script += &format!(
+        r"d send {}
+          w1 wait a
+          a expect POST /lookup/k x-txn:\x20t8
+          a send done 1
+          d expect 200 1
+          d send {}
+          a expect POST /lookup/k x-txn:\x20t9
+          a send done 2
+          d expect 200 2",
+        of("X-Org: other\\r\\n", "t8"),
+        of("", "t9")
+    );
+    Stage::with_settings(&["w1"], None, &settings(TENANTS)).go_on(&script);
+}
+
+// Guards against a header that means nothing at a site keeping its jobs out.
+#[test]
+fn where_nobody_shares_the_workers_any_tenant_is_served() {
+    let mut script = String::new();
+    for (n, org) in ["X-Org: acne", "X-Org: a\\r\\nX-Org: b", "X-Org: \u{e9}"].iter().enumerate() {
+        script += &format!("c send {}\n", of(&format!("{org}\\r\\n"), &format!("t{n}")));
+        script += if n == 0 { "w1 wait a\n" } else { "" };
+        script += &format!("a expect POST /lookup/k x-txn:\\x20t{n}\n a send done {n}\n c expect 200 {n}\n");
+    }
+    play(&["w1"], &script);
+}
+
+// Guards against a report that is lost with the line that brought it: the next job went to the same next hop, whose
+// queue it had told of. In a job that was turned away it is seen in the tests of next hops, as such a one is left
+// alone for a while whatever it reports.
+#[test]
+fn the_load_report_of_a_job_that_is_done_or_failed_decides_where_the_next_one_goes() {
+    let reports = settings(r#""report":{"fields":["waiting","active","x0"],"via":"answers"}"#);
+    for (state, status) in [("done", "200"), ("failed", "502")] {
+        let script = format!(
+            r#"c send POST /order/k t1 5000 x
+               w1 wait a
+               a expect POST /order/k t1
+               a send 200
+               a send + {{"id":"t1","from":"w1","state":"{state}","load":{{"inflight":40,"queue":39,"x0":1}}}}
+               a send .
+               c expect {status}
+               c send POST /order/k t2 5000 x
+               w2 wait b
+               b expect POST /order/k t2
+               b send done 2
+               c expect 200 2"#
+        );
+        Stage::with_settings(&["w1", "w2"], None, &reports).go_on(&script);
+    }
+}
+
+// Guards against a keyed job of a Gearman client that no next hop knows again.
+#[test]
+fn the_unique_id_of_a_gearman_job_is_its_key_on_each_attempt() {
+    play(
+        &["w1", "w2"],
+        r"g send [SUBMIT_JOB hold|u/1|body]
+          g expect [JOB_CREATED *]
+          w1 wait a
+          a expect POST /hold/u%2F1 idempotency-key:\x20u%2F1 body
+          a close
+          w2 wait b
+          b expect POST /hold/u%2F1 idempotency-key:\x20u%2F1 body
+          b send done 7
+          g expect [WORK_COMPLETE *|7]
+          # Without one its own id stands for it; a class that needs none has none.
+          g send [SUBMIT_JOB hold||body]
+          g expect [JOB_CREATED *]
+          b expect POST /hold/ idempotency-key:
+          b send done 8
+          g expect [WORK_COMPLETE *|8]
+          g send [SUBMIT_JOB lookup|u2|body]
+          g expect [JOB_CREATED *]
+          b expect POST /lookup/u2 !idempotency
+          b send done 9
+          g expect [WORK_COMPLETE *|9]",
+    );
+}
+
+// Guards against a dispatcher of a large fleet that draws the time of its first call as if all of them shared the
+// agent beside it, which it then reads minutes late.
+#[test]
+fn where_lists_are_pushed_the_agent_is_asked_from_the_first_moment() {
+    let pushed = settings(r#""discovery":"automatic","n-instances":10000"#);
+    let mut stage = Stage::with_settings(&["w1", "discovery", "discovery2"], None, &pushed);
+    stage.go_on(
+        r#"discovery wait d
+           d expect GET /api/targets?stream=1&index=1
+           d send 200
+           d send + {"index":2,"snapshot":false,"endpoints":[{"name":"w1","address":"","zone":"z","type":"k","status":"draining"}]}"#,
+    );
+    stage.until_listed("w1", "Draining");
+    // The same after a new configuration, and once an agent has broken off.
+    stage.reload("discovery2");
+    stage.go_on(
+        r"discovery2 wait e
+          e expect GET /api/targets
+          e close
+          discovery2 wait f
+          f expect GET /api/targets",
+    );
+}
+
+// Guards against a figure that the program has no use for keeping a job out, and against nonsense that counts as 1.
+#[test]
+fn further_figures_are_skipped_and_nonsense_is_turned_down() {
+    let mut script = String::new();
+    for (n, labels) in ["slots", "slots=many", "memory=-1", "slots=1;memory=2"].iter().enumerate() {
+        let header = format!("X-Labels: {labels}\\r\\n");
+        script += &format!("c{n} send {}\n c{n} expect 400\n", of(&header, &format!("t{n}")));
+    }
+    script += &format!(
+        "d send {}\n w1 wait a\n a expect POST /lookup/k x-txn:\\x20t9\n a send done 1\n d expect 200 1",
+        of("X-Labels: slots=1,memory=0.5, depth=3,\\r\\nX-Resent: 1\\r\\n", "t9")
+    );
+    play(&["w1"], &script);
+}
--- /dev/null
+++ b/crates/net/tests/settings.rs
@@ -0,0 +1,143 @@
+//! The settings of two kinds of deployment, as they come out of the configuration's text.
+
+use pumiceway_decisions::api::{Effect, Group, ReportVia, Settings, ZoneId};
+use pumiceway_decisions::settings::{Discovery, QueueOrder, Weights};
+use pumiceway_net::config::{Config, ConfigError};
+
+/// The list is asked for, reports come with probes, nobody shares, queues are first in first out.
+const ASKED: &str = r#"{"clients":{"marks-retry":false},"discovery":"subscribe","domain-type":"jobs",
+  "family-info":{"class-kind":[-1,-1],"class-priority":[0,1],"class-stretch":[2.5,2.0],"progress-us":2000000,
+    "queue-order":"fifo","report-x0":"free slots","report-x1":"free memory","tells-start":true},
+  "goal":{"whole":0.4},"kinds":["four"],
+  "lanes":[{"aim-us":500000,"deadline-us":10000000,"dedup-scope":"all","late-worth":0.0,"name":"push","points":2.0,
+      "semantics":"read_like","streaming":false,"window-us":5000000},
+    {"aim-us":1500000,"deadline-us":20000000,"dedup-scope":"all","name":"import","points":3.0,
+      "semantics":"non_idempotent","window-us":5000000}],
+  "limits":{"cancel":true,"conn-idle-us":15000000,"connect-timeout-us":250000,"cpu-us-per-s":15000,
+    "max-retry-after-us":2000000,"max-streams":1,"most-held":20000,"most-tries":6,"peer-messages":false,
+    "probes":true,"retry-after":true,"second-copies":true},
+  "me":1,"my-zone":"south","n-instances":2,"over-share-worth":0.2,"prices":{"cross-zone":0.03,"probe":0.0015},
+  "report":{"fields":["x0","cpu"],"via":"probe"},"resolution-us":4000,
+  "rules":{"answer-slack-us":16000,"ask-within-us":9000000,"cold-from":0.13,"cold-us":23000000,
+    "drain-grace-us":500000,"fall-us":3000000,"tip-multiple":3.0},
+  "tenants":[],"tier":0,"weights":"none","zones":["north","south"]}"#;
+
+/// Lists are pushed, reports come with answers, tenants have shares, weights live, queues go by priority, and one
+/// class carries a key that the workers of a zone know.
+const PUSHED: &str = r#"{"discovery":"automatic",
+  "family-info":{"class-kind":[-1,-1,-1],"class-priority":[0,0,1],"class-stretch":[2.5,2.0,2.0],"progress-us":0,
+    "queue-order":"priority","tells-start":true},
+  "kinds":["fast","std"],
+  "lanes":[{"aim-us":120000,"deadline-us":5000000,"name":"lookup","points":5.0,"semantics":"read_like"},
+    {"aim-us":500000,"deadline-us":15000000,"name":"order","points":5.0,"semantics":"non_idempotent"},
+    {"aim-us":120000,"deadline-us":5000000,"name":"hold","points":15.0,"semantics":"idempotency_key",
+      "dedup-scope":"zone","window-us":7500000}],
+  "limits":{"cancel":true,"conn-idle-us":10000000,"connect-timeout-us":250000,"most-tries":3,"peer-messages":true,
+    "probes":true,"retry-after":true,"max-retry-after-us":2000000,"second-copies":true},
+  "me":0,"my-zone":"b","n-instances":3,"over-share-worth":0.1,"prices":{"cross-zone":0.014,"probe":0.0018},
+  "report":{"fields":["waiting","active","x0","x1"],"via":"answers"},"resolution-us":5000,
+  "rules":{"cold-from":0.33,"cold-us":7900000,"drain-grace-us":500000,"fall-us":3000000,"tip-multiple":2.5},
+  "tenants":[{"name":"t1","quota-per-s":30.5,"share":0.6},{"name":"t2","quota-per-s":20.0,"share":0.4}],
+  "weights":"live","zones":["a","b","c"]}"#;
+
+fn read(settings: &str) -> Result<Config, ConfigError> {
+    let text = format!(r#"{{"listen":"127.0.0.1:0","peers":["10.0.0.1:7"],"settings":{settings}}}"#);
+    Config::from_text(&text, "config", |_| None)
+}
+
+/// All that differs between the two, each in a line.
+fn told(s: &Settings) -> Vec<(&'static str, String)> {
+    let each = |f: &dyn Fn(usize) -> String| (0..s.classes.len()).map(f).collect::<Vec<_>>().join(" ");
+    vec![
+        ("list by asking", format!("{} within {}", s.list_by_asking, s.ask_within)),
+        ("reports", format!("{:?}", s.report_via)),
+        ("instance", format!("{} of {}", s.me, s.instances)),
+        ("zones", format!("{} home {:?}", s.zones, s.my_zone.map(|z| z.0))),
+        ("kinds", s.kinds.to_string()),
+        ("tenants", format!("{:?}", s.tenants.iter().map(|t| t.quota).collect::<Vec<_>>())),
+        ("over share", s.over_share_worth.to_string()),
+        ("priority", each(&|n| s.classes[n].priority.to_string())),
+        ("stretch", each(&|n| s.classes[n].stretch.to_string())),
+        ("worth", each(&|n| s.classes[n].worth.to_string())),
+        ("deadline", each(&|n| s.classes[n].deadline.to_string())),
+        ("attempts", s.max_attempts.to_string()),
+        ("idle", s.connection_idle.to_string()),
+        ("progress", format!("{} {}", s.tells_start, s.progress_every)),
+        ("cold", format!("{} {} {} {}", s.cold_from, s.cold_for, s.tip_multiple, s.fall_window)),
+        ("prices", format!("{} {}", s.prices.cross_zone, s.prices.probe)),
+        ("held", s.held_most.to_string()),
+    ]
+}
+
+#[test]
+fn both_kinds_of_settings_are_read_in_every_respect() {
+    let expected = [
+        ("list by asking", "true within 9000000", "false within 0"),
+        ("reports", "Probe", "Answers"),
+        ("instance", "1 of 2", "0 of 3"),
+        ("zones", "2 home Some(1)", "3 home Some(1)"),
+        ("kinds", "1", "2"),
+        ("tenants", "[]", "[30.5, 20.0]"),
+        ("over share", "0.2", "0.1"),
+        // Priorities count where workers serve by them.
+        ("priority", "0 0", "0 0 1"),
+        ("stretch", "2.5 2", "2.5 2 2"),
+        ("worth", "2 3", "5 5 15"),
+        ("deadline", "10000000 20000000", "5000000 15000000 5000000"),
+        ("attempts", "6", "3"),
+        ("idle", "15000000", "10000000"),
+        ("progress", "true 2000000", "true 0"),
+        ("cold", "0.13 23000000 3 3000000", "0.33 7900000 2.5 3000000"),
+        ("prices", "0.03 0.0015", "0.014 0.0018"),
+        ("held", "20000", "0"),
+    ];
+    let (asked, pushed) = (read(ASKED).unwrap(), read(PUSHED).unwrap());
+    for (n, config) in [&asked, &pushed].into_iter().enumerate() {
+        for ((what, got), (name, first, second)) in told(&config.settings).iter().zip(expected) {
+            assert_eq!((*what, got.as_str()), (name, [first, second][n]));
+        }
+        let s = &config.settings;
+        assert!(s.probes && s.cancel && s.second_copies && s.retry_after, "{s:?}");
+        assert_eq!((s.connect_timeout, s.max_retry_after), (250_000, 2_000_000));
+        assert_eq!((s.classes[0].effect, s.classes[1].effect), (Effect::Safe, Effect::Unsafe));
+        assert!(s.classes.iter().all(|c| c.zones.is_none() && c.kinds.is_none()), "{s:?}");
+    }
+    assert_eq!(pushed.settings.classes[2].effect, Effect::Keyed { group: Group::Zone, window: 7_500_000 });
+    assert_eq!(asked.settings.report_via, ReportVia::Probe);
+    let (asked, pushed) = (asked.conf, pushed.conf);
+    assert_eq!((asked.discovery, pushed.discovery), (Discovery::Subscribe, Discovery::Automatic));
+    assert_eq!((asked.weights, pushed.weights), (Weights::None, Weights::Live));
+    let orders = (asked.family_info.queue_order, pushed.family_info.queue_order);
+    assert_eq!(orders, (QueueOrder::Fifo, QueueOrder::Priority));
+    assert_eq!((pushed.zone(Some("c")), pushed.zone(Some("d"))), (Some(ZoneId(2)), None));
+    assert_eq!((pushed.tenant("t2").map(|t| t.0), pushed.tenant("t3")), (Some(1), None));
+    assert_eq!((asked.rules.drain_grace_us, pushed.rules.drain_grace_us), (500_000, 500_000));
+}
+
+// Guards against a wrong value whose message leaves its key to be guessed.
+#[test]
+fn a_wrong_value_names_its_key() {
+    let wrong = [
+        (r#""discovery":"automatic""#, r#""discovery":"pull""#, "settings.discovery"),
+        (r#""via":"answers""#, r#""via":"mail""#, "settings.report.via"),
+        (r#""weights":"live""#, r#""weights":1"#, "settings.weights"),
+        (r#""queue-order":"priority""#, r#""queue-order":"lifo""#, "settings.family-info.queue-order"),
+        (r#""semantics":"idempotency_key""#, r#""semantics":"keyed""#, "settings.lanes[2].semantics"),
+        (r#""dedup-scope":"zone""#, r#""dedup-scope":"rack""#, "settings.lanes[2].dedup-scope"),
+        (r#""quota-per-s":20.0"#, r#""quota-per-s":"20""#, "settings.tenants[1].quota-per-s"),
+        (r#""most-tries":3"#, r#""most-tries":-3"#, "settings.limits.most-tries"),
+        (r#""most-tries":3"#, r#""most-tries":0"#, "settings.limits.most-tries"),
+        (r#""my-zone":"b""#, r#""my-zone":"d""#, "settings.my-zone"),
+        (r#""me":0"#, r#""me":3"#, "settings.me"),
+        (r#""drain-grace-us":500000"#, r#""drain-grace-us":0.5"#, "settings.rules.drain-grace-us"),
+    ];
+    for (good, bad, key) in wrong {
+        assert_eq!(PUSHED.matches(good).count(), 1, "{good}");
+        let fault = read(&PUSHED.replace(good, bad)).unwrap_err();
+        assert!(matches!(&fault, ConfigError::Key { key: named, .. } if named == key), "{bad}: {fault}");
+    }
+    let lanes = PUSHED.find(r#""lanes""#).unwrap()..PUSHED.find(r#""limits""#).unwrap();
+    let none = PUSHED.replace(&PUSHED[lanes], r#""lanes":[],"#);
+    let fault = read(&none).unwrap_err();
+    assert!(fault.to_string().starts_with("settings.lanes: "), "{fault}");
+}
