Decisions: a worker that fails jobs at once draws no more of them to itself

Ruled out: refusals (0.4 in 100), cold workers and the release (it begins at 7.5 s).

At fault: an answer with an error counted as a sign of life and of nothing else (on_outcome, alive). A worker that fails at once is always idle, so the first block is valid there; what must not run twice is lost, as it may have run.

Each worker has a share of errors in its answers, the latest most. One with more than 0.1 and twice the others' is open to one safe request at a time, as one back from failure is, until it serves again. Jobs that are wrong fail everywhere and close nobody. Two tests; each fails without its part.

--- a/crates/decisions/src/policy/belief.rs
+++ b/crates/decisions/src/policy/belief.rs
@@ -10,8 +10,7 @@
 /// as a `full` answer does; for twice as long with each further one in a row, so often at most.
 const LATE_DOUBLINGS: u32 = 2;
 /// First and longest wait before a worker that failed is tried again.
-const RETRIAL: Micros = 250_000;
-const RETRIAL_MOST: Micros = 4_000_000;
+const RETRIAL: (Micros, Micros) = (250_000, 4_000_000);
 /// A kind's slots are the mean of reports with this share of them free; the step to a report, and to one that
 /// has a lot more.
 const NEARLY_FREE: f64 = 0.85;
@@ -26,6 +25,9 @@
 /// mean worker ends for the same use runs jobs 2.5 times as long or longer, or others have its cores.
 const IN_USE: f64 = 0.3;
 const SLOW: f64 = 0.4;
+/// A larger share of errors than this, and twice that of the others, tells of a worker; and the step to an answer.
+const ERRORS: f64 = 0.1;
+pub(super) const ERRORS_STEP: f64 = 0.2;
 /// So many workers of a zone that do not answer, and none that has since, tell of the zone.
 const SILENT: usize = 2;
 
@@ -36,6 +38,14 @@
             && w.health.rate * self.m.health.busy < SLOW * self.m.health.rate * w.health.busy
     }
 
+    /// Prevents: a worker that fails jobs at once always has room, and draws all jobs to itself. Jobs that are
+    /// wrong fail wherever they go.
+    pub(super) fn failing(&self, w: &Worker) -> bool {
+        let all = || self.m.workers.iter().filter(|w| w.listed).map(|w| w.errors);
+        let others = || (all().sum::<f64>() - w.errors) / (all().count() as f64 - 1.0);
+        w.errors > ERRORS && w.errors > ERRORS + 2.0 * others()
+    }
+
     /// Whether a whole zone seems lost.
     pub(super) fn dark(&self, zone: ZoneId) -> bool {
         let here = || self.m.workers.iter().filter(|w| w.listed && w.zone == zone);
@@ -65,7 +75,7 @@
 
     pub(super) fn condemn(&mut self, now: Micros, worker: WorkerId) {
         let w = self.m.wm(worker);
-        let wait = (RETRIAL << w.strikes.min(8)).min(RETRIAL_MOST);
+        let wait = (RETRIAL.0 << w.strikes.min(8)).min(RETRIAL.1);
         w.strikes += 1;
         w.bad_until = Some(now + wait);
         self.m.watch(worker);
--- a/crates/decisions/src/policy/life.rs
+++ b/crates/decisions/src/policy/life.rs
@@ -1,6 +1,7 @@
 //! The life of a request: from its coming to its final answer.
 
 use super::Balancer;
+use super::belief::ERRORS_STEP;
 use super::placement::Choice;
 use crate::api::*;
 use crate::state::*;
@@ -57,6 +58,8 @@
         }
         if matches!(status, Status::Ok | Status::Error | Status::Full) {
             self.alive(now, worker);
+            let errors = &mut self.m.wm(worker).errors;
+            *errors += ERRORS_STEP * (f64::from(u8::from(status == Status::Error)) - *errors);
         }
         match status {
             Status::Ok => {
--- a/crates/decisions/src/policy/script.rs
+++ b/crates/decisions/src/policy/script.rs
@@ -8,8 +8,7 @@
 use std::borrow::Cow;
 
 /// What a key's jobs are about is fetched by one in so many workers, and by so many at least.
-const FETCHED_BY: usize = 4;
-const FETCHED_LEAST: usize = 4;
+const FETCHED_BY: (usize, usize) = (4, 4);
 /// For this share of its aim a job waits for one of these, before it goes to any other.
 const WAITS_FOR_THEM: f64 = 0.3;
 
@@ -89,7 +88,7 @@
         // All instances have one order of workers for a key, but half swap the first two of it. While these
         // are full a job waits a little: its fetch elsewhere would keep all full for longer.
         let wait = self.s.classes[r.class.0].aim as f64 * WAITS_FOR_THEM;
-        let most = (order.len() / FETCHED_BY).max(FETCHED_LEAST);
+        let most = (order.len() / FETCHED_BY.0).max(FETCHED_BY.1);
         if let Some(key) =
             r.key.filter(|_| thin && (now as f64) < r.start as f64 + wait && most < order.len())
         {
--- a/crates/decisions/src/policy/validity.rs
+++ b/crates/decisions/src/policy/validity.rs
@@ -49,7 +49,7 @@
             && w.bad_until.is_none()
             && now >= w.full_until
             && in_group
-            && !(w.trial && (w.own_count > 0 || unsafe_now()))
+            && !((w.trial || self.failing(w)) && (w.own_count > 0 || unsafe_now()))
             && !r.attempts.iter().any(|a| a.worker == id && a.fate != Fate::NeverRan)
             && self.cold_room(now, w, r)
     }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -99,6 +99,8 @@
     /// What it ends for what it is in use.
     pub(crate) health: Health,
     pub(crate) full_until: Micros,
+    /// Share of its answers that were errors, the latest most.
+    pub(crate) errors: f64,
     /// Jobs in a row that it did not start at once, though it seemed to have room.
     pub(crate) late: u32,
     pub(crate) heard: Micros,
--- a/crates/decisions/tests/decisions.rs
+++ b/crates/decisions/tests/decisions.rs
@@ -725,3 +725,40 @@
     assert_eq!(first_of(Some(TenantId(1)), two), (false, true), "in the order of its coming");
     assert_eq!(first_of(None, vec![]), (false, true), "where there are no tenants");
 }
+
+// Guards against a worker that fails jobs at once: it always has room, so it draws all jobs to itself, and those that
+// must not run twice are lost there.
+#[test]
+fn a_worker_that_answers_with_errors_is_left_to_single_safe_jobs_until_it_serves_again() {
+    let mut s = settings(Effect::Unsafe);
+    s.classes.push(class(Effect::Safe));
+    let mut t = Bench::new(s, &[entry(0, 0), entry(1, 0)], 4.0);
+    let ask = |t: &mut Bench, class| {
+        let (request, out) = t.ask(class, 1.0);
+        (request, sent(&out).unwrap())
+    };
+    let (lost, first) = ask(&mut t, 0);
+    assert_eq!(first, 0);
+    t.outcome(lost, 0, 0, Status::Error);
+    assert_eq!(ask(&mut t, 0).1, 1, "no import goes there");
+    let (mut safe, at) = ask(&mut t, 1);
+    assert_eq!((at, ask(&mut t, 1).1), (0, 1), "one safe job at a time");
+    for _ in 0..4 {
+        t.outcome(safe, 0, 0, Status::Ok);
+        (safe, _) = ask(&mut t, 1);
+    }
+    assert_eq!(ask(&mut t, 0).1, 0, "it has served again");
+}
+
+#[test]
+fn jobs_that_fail_wherever_they_go_close_no_worker() {
+    let mut t = Bench::new(settings(Effect::Unsafe), &[entry(0, 0), entry(1, 0)], 4.0);
+    for n in 0..400 {
+        let (request, out) = t.ask(0, 1.0);
+        let worker = sent(&out).expect("one of the two takes it");
+        let status = if n % 3 == 0 { Status::Error } else { Status::Ok };
+        t.outcome(request, 0, worker, status);
+    }
+    let spread = t.spread(5);
+    assert!(spread.contains(&Some(0)) && spread.contains(&Some(1)), "{spread:?}");
+}
