--- a/crates/decisions/src/policy/belief.rs
+++ b/crates/decisions/src/policy/belief.rs
@@ -21,11 +21,11 @@
 /// The pace of a worker is averaged over this time (µs); that of all by this step.
 const PACE: f64 = 2_000_000.0;
 const PACE_STEP: f64 = 0.05;
-/// Used less than this, a worker has no pace to speak of. One that ends less than the second share of what the
-/// mean worker ends for the same use runs jobs 2.5 times as long or longer, or others have its cores.
+/// Used less than this, a worker has no pace to speak of. One that ends less than the second share of what
+/// the mean worker ends for the same use runs jobs 2.5 times as long or longer, or others have its cores.
 const IN_USE: f64 = 0.3;
 const SLOW: f64 = 0.4;
-/// A larger share of errors than this, and twice that of the others, tells of a worker; and the step to an answer.
+/// More errors than this share, and twice the others', tell of a worker; and the step to an answer.
 const ERRORS: f64 = 0.1;
 pub(super) const ERRORS_STEP: f64 = 0.2;
 /// So many workers of a zone that do not answer, and none that has since, tell of the zone.
@@ -38,8 +38,8 @@
             && w.health.rate * self.m.health.busy < SLOW * self.m.health.rate * w.health.busy
     }
 
-    /// Prevents: a worker that fails jobs at once always has room, and draws all jobs to itself. Jobs that are
-    /// wrong fail wherever they go.
+    /// Prevents: a worker that fails jobs at once always has room, and draws all jobs to itself. Jobs that
+    /// are wrong fail wherever they go.
     pub(super) fn failing(&self, w: &Worker) -> bool {
         let all = || self.m.workers.iter().filter(|w| w.listed).map(|w| w.errors);
         let others = || (all().sum::<f64>() - w.errors) / (all().count() as f64 - 1.0);
--- a/crates/decisions/src/policy/placement.rs
+++ b/crates/decisions/src/policy/placement.rs
@@ -65,9 +65,9 @@
                 return Choice::Send(id);
             }
         }
-        // The followup is for workers of whose slots nobody tells. Prevents: jobs that may wait long fill the
-        // queues of all others, and those that may not, though worth more for a slot's time, never meet a free
-        // slot. What finds no room is held, and refused when it is too late to start.
+        // The followup is seldom open. Prevents: jobs that may wait long fill the queues of all workers, and
+        // those that may not, though worth more for a slot's time, never meet a free slot. What finds no room
+        // is held, and refused when it is too late to start.
         let soon = |w| self.able(now, w, r, allowed) && self.starts_soon(now, self.m.w(w), r);
         let all = self.tags[r.class.0].script.iter().map(|&(_, w)| w);
         all.filter(|_| last && cross && !thin).find(|&w| soon(w)).map_or(Choice::Nobody, Choice::Send)
--- a/crates/decisions/src/policy/script.rs
+++ b/crates/decisions/src/policy/script.rs
@@ -1,5 +1,5 @@
-//! The script: for each class a tag, the home-zone block before what is elsewhere, ids in order, each instance
-//! from its own place; and the order of one walk of it.
+//! The script: for each class a tag, the home-zone block before what is elsewhere, ids in order, each
+//! instance from its own place; and the order of one walk of it.
 
 use super::Balancer;
 use crate::api::*;
@@ -17,7 +17,7 @@
         let listed: Vec<_> = self.m.by_id.iter().copied().filter(|&w| self.m.w(w).listed).collect();
         let mut size = vec![(0.0, 0.0); self.s.kinds];
         for w in listed.iter().map(|&w| self.m.w(w)) {
-            size[w.kind.0].0 += w.size;
+            size[w.kind.0].0 += if w.size > 0.0 { w.size } else { f64::NAN };
             size[w.kind.0].1 += self.m.kind_slots[w.kind.0].max(1.0);
         }
         let mean = size.iter().map(|s| s.0).sum::<f64>() / size.iter().map(|s| s.1).sum::<f64>();
@@ -84,9 +84,9 @@
         let (order, thin) = (walk.to_mut(), self.thin());
         let fit = |w: &Worker| w.bad_until.is_none() && (cross || !self.slow(w));
         order.retain(|&(_, id)| fit(self.m.w(id)));
-        // Prevents: every worker fetches what any job is about, and all wait for the store they fetch it from.
-        // All instances have one order of workers for a key, but half swap the first two of it. While these
-        // are full a job waits a little: its fetch elsewhere would keep all full for longer.
+        // Prevents: every worker fetches what any job is about, and all wait for the store they fetch it
+        // from. All instances have one order of workers for a key, but half swap the first two of it. While
+        // these are full a job waits a little: its fetch elsewhere would keep all full for longer.
         let wait = self.s.classes[r.class.0].aim as f64 * WAITS_FOR_THEM;
         let most = (order.len() / FETCHED_BY.0).max(FETCHED_BY.1);
         if let Some(key) =
--- a/crates/decisions/src/policy/validity.rs
+++ b/crates/decisions/src/policy/validity.rs
@@ -101,8 +101,8 @@
     }
 
     /// The followup's looser test: it would start while that still meets the aim. For workers of whose slots
-    /// nobody tells; and for a job of several slots that lacks less than one, while nothing worth more is held:
-    /// so many are seldom free at once unless it waits for them at the head of a queue.
+    /// nobody tells; and for a job of several slots that lacks less than one, while nothing worth more is
+    /// held: so many are seldom free at once unless it waits for them at the head of a queue.
     pub(super) fn starts_soon(&self, now: Micros, w: &Worker, r: &Request) -> bool {
         let wait = -self.room(now, w, r) * self.m.mean_run / self.slots_of(w, r);
         let latest = self.latest_start(r) as f64 - self.s.classes[r.class.0].aim as f64 / 2.0;
--- a/crates/decisions/tests/deployments.rs
+++ b/crates/decisions/tests/deployments.rs
@@ -159,6 +159,15 @@
     assert_eq!(steady, live);
 }
 
+// Guards against a worker of whose size nobody tells counting as a slow machine beside one whose size is told.
+#[test]
+fn a_worker_of_unknown_size_is_not_put_last() {
+    let known = Entry { kind: KindId(1), size: 0.25, ..entry(1, 0) };
+    let settings = Settings { kinds: 2, ..site(Effect::Safe) };
+    let mut t = Bench::new(settings, &[Entry { size: 0.0, ..entry(0, 0) }, known], 4.0);
+    assert_eq!(sent(&comes(&mut t, 0, 0.5, &[(4.0, 4.0); 2]).1), Some(0));
+}
+
 // Guards against a job that goes where a slot is free, and waits there for memory as long as another one runs.
 #[test]
 fn a_job_that_finds_slots_but_no_memory_goes_elsewhere_or_is_held() {
