--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,8 @@
 console: build
 	target/release/pumiceway console
 
-# All that must hold before a change lands.
+# All that must hold before a change lands. What touches what the platform runs also plays, one after the other and with
+# nothing else running, the quick days of the full fleet and of a hundred dispatchers on szeged-budapest, and those on
+# real sockets and in the simulator on szeged-budapest and on verband-katalog; in full at every third.
 check:
 	bash .ci/run
