Next hops: a cut reaches its own request alone; a dead kept connection gets none

Seen by reading hop/mod.rs and hop/line.rs, then forced in tests:

Branch::cut closed the connection that its CaptureConnection names, for as long as the shell had not heard of the branch's end. By then the connection may be kept, and another branch may have its request on it, which ended as "reset when kept": an import was lost. The same from within: `follow` had a connection cut for a bad or missing last line although hyper had read the answer to its end and handed the connection on. A branch now has one course (over; number of its request on the connection). A kept connection that the other side closed, reset, or wrote to unasked before our request was written to all the same, when the runtime had not yet heard of it: the request ended as "may have run", and a late answer 503 with X-Turned-Away was taken for the next request's own. Before the first byte of a request the socket itself is asked now. If it isn't quiet, not a byte is written, ever, and the branch ends as NotConnected. hyper takes the body (hop/letter.rs) after the head is buffered and before any is written: that is where a request gets its number and the mark "unwritten", which the first byte that the socket takes removes. KeptReset stays for what was written in part or whole on a kept connection; distrust follows from that alone, as nothing is lost by the new case.

Ruled out: peeking through tokio (poll_peek looks at the readiness it knows, which is what is stale here); telling the first write of a request by what was read before it (an early answer looks the same).

--- /dev/null
+++ b/crates/net/src/hop/letter.rs
@@ -0,0 +1,67 @@
+//! The body of a request to a next hop, which knows when the request is about to be written.
+
+use super::Branch;
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// A body in one piece. hyper takes it in, and lets it go at once if it is empty, when it has put the head into its
+/// buffer and has yet to write any of it: at that moment the branch gets its number on the connection.
+#[derive(Default)]
+pub struct Letter {
+    content: Option<Bytes>,
+    of: Option<Branch>,
+}
+
+impl Letter {
+    /// The body of a branch's request.
+    pub fn new(content: Bytes, of: Branch) -> Letter {
+        Letter { content: Some(content).filter(|c| !c.is_empty()), of: Some(of) }
+    }
+
+    /// Prevents: the request of a branch that is over is written to a connection that came up too late for it.
+    fn begin(&mut self) -> io::Result<()> {
+        match self.of.take() {
+            Some(of) if of.over() => {
+                of.close();
+                Err(io::ErrorKind::ConnectionAborted.into())
+            }
+            Some(of) => {
+                of.begin();
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+impl Body for Letter {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if let Err(e) = self.begin() {
+            return Poll::Ready(Some(Err(e)));
+        }
+        Poll::Ready(self.content.take().map(|content| Ok(Frame::data(content))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.content.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.content.as_ref().map_or(0, |c| c.len() as u64))
+    }
+}
+
+impl Drop for Letter {
+    fn drop(&mut self) {
+        let _ = self.begin();
+    }
+}
--- a/crates/net/src/hop/line.rs
+++ b/crates/net/src/hop/line.rs
@@ -4,11 +4,12 @@
 use hyper::Uri;
 use hyper_util::client::legacy::connect::{Connected, Connection};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, Socket};
 use std::future::Future;
-use std::io;
+use std::io::{self, Read};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -25,6 +26,10 @@
     done: AtomicBool,
     /// An answer has come on it.
     used: AtomicBool,
+    /// The requests it was given so far; the last one's number.
+    turn: AtomicU64,
+    /// Not a byte of the last one has been written.
+    unwritten: AtomicBool,
     reader: AtomicWaker,
 }
 
@@ -39,10 +44,28 @@
         self.0.used.load(Ordering::Relaxed)
     }
 
-    /// Ends the connection at once.
-    pub fn cut(&self) {
-        self.0.done.store(true, Ordering::Release);
-        self.0.reader.wake();
+    /// The next request is about to be written; its number on this connection, from 1.
+    pub fn begin(&self) -> u64 {
+        self.0.unwritten.store(true, Ordering::Relaxed);
+        self.0.turn.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Whether not a byte of this request has been written. If so none ever is: the connection ends.
+    pub fn never_wrote(&self, turn: u64) -> bool {
+        let never = self.0.turn.load(Ordering::Relaxed) == turn && self.0.unwritten.load(Ordering::Relaxed);
+        if never {
+            self.cut(turn);
+        }
+        never
+    }
+
+    /// Ends the connection at once, unless it carries a later request by now. Before a request has its number (0), the
+    /// connection waits for it alone.
+    pub fn cut(&self, turn: u64) {
+        if turn == 0 || self.0.turn.load(Ordering::Relaxed) == turn {
+            self.0.done.store(true, Ordering::Release);
+            self.0.reader.wake();
+        }
     }
 }
 
@@ -59,6 +82,32 @@
             false => Ok(()),
         }
     }
+
+    /// Before the first byte of a request, looks whether the other side has closed or has sent what nobody asked for.
+    /// Prevents: a request is lost as one that may have run, written to a connection that was dead before it; and what
+    /// came late for the request before is taken as its answer. The runtime may not have heard of it yet, so the
+    /// socket itself is asked; what it gives is of no use, so it may be taken out.
+    fn check_write(&self) -> io::Result<()> {
+        self.check()?;
+        let cut = &self.cutter.0;
+        if cut.unwritten.load(Ordering::Relaxed) {
+            let socket = SockRef::from(&self.stream);
+            let mut socket: &Socket = &socket;
+            let quiet = matches!(socket.read(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
+            if !quiet {
+                cut.done.store(true, Ordering::Release);
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+        }
+        Ok(())
+    }
+
+    fn wrote(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if matches!(written, Poll::Ready(Ok(n)) if n > 0) {
+            self.cutter.0.unwritten.store(false, Ordering::Relaxed);
+        }
+        written
+    }
 }
 
 impl Connection for Line {
@@ -81,8 +130,9 @@
 
 impl AsyncWrite for Line {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.check()?;
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        self.check_write()?;
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.wrote(written)
     }
 
     fn poll_write_vectored(
@@ -90,8 +140,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.check()?;
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        self.check_write()?;
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.wrote(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -1,21 +1,25 @@
 //! Next hops: sync workers reached over HTTP, each through a client of its own.
 
+mod letter;
 mod line;
 
 use crate::config::Sockets;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::HeaderValue;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use letter::Letter;
 use line::{Connector, Cutter};
 use pumiceway_core::{Ending, Job, News};
 use pumiceway_decisions::api::{Report, Status};
 use pumiceway_decisions::settings::Conf;
 use serde::Deserialize;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::time::timeout;
 use tracing::warn;
@@ -64,9 +68,9 @@
 /// The client of one next hop. Dropping it closes its idle connections.
 #[derive(Clone)]
 pub struct Hop {
-    client: Client<Connector, Full<Bytes>>,
+    client: Client<Connector, Letter>,
     /// Opens a connection for each request.
-    fresh: Client<Connector, Full<Bytes>>,
+    fresh: Client<Connector, Letter>,
     address: String,
     probe: Duration,
 }
@@ -109,16 +113,67 @@
 #[derive(Clone)]
 pub struct Branch {
     captured: CaptureConnection,
+    course: Arc<Course>,
+}
+
+/// How far a branch has come.
+#[derive(Default)]
+struct Course {
+    /// Its end was told, or it was cut.
+    over: AtomicBool,
+    /// Its request's number on its connection; 0 before that is written.
+    turn: AtomicU64,
 }
 
 impl Branch {
-    /// Closes the connection that the branch is on.
+    fn new(request: &mut Request<Letter>) -> Branch {
+        Branch { captured: capture_connection(request), course: Arc::default() }
+    }
+
+    /// Closes the connection that the branch is on, unless its end was told.
     pub fn cut(&self) {
+        // Prevents: a connection that is back among those kept, and has another branch on it, is closed by a cut that
+        // crossed the end of the one before.
+        if self.end() {
+            self.close();
+        }
+    }
+
+    /// Whether it was still out. It has one end, and this is the place that decides which.
+    fn end(&self) -> bool {
+        !self.course.over.swap(true, Ordering::Relaxed)
+    }
+
+    fn over(&self) -> bool {
+        self.course.over.load(Ordering::Relaxed)
+    }
+
+    fn tell(&self, teller: &mut impl Teller, ending: Ending, report: Option<Report>) {
+        if self.end() {
+            teller.ended(ending, report);
+        }
+    }
+
+    /// Closes its connection, unless that has a later request on it.
+    fn close(&self) {
         if let Some(cutter) = self.cutter() {
-            cutter.cut();
+            cutter.cut(self.course.turn.load(Ordering::Relaxed));
         }
     }
 
+    /// Its request is the next thing that its connection writes.
+    fn begin(&self) {
+        if let Some(cutter) = self.cutter() {
+            self.course.turn.store(cutter.begin(), Ordering::Relaxed);
+        }
+    }
+
+    /// Its connection was closed with not a byte of its request written.
+    fn never_wrote(&self) -> bool {
+        let turn = self.course.turn.load(Ordering::Relaxed);
+        self.cutter().is_some_and(|c| turn > 0 && c.never_wrote(turn))
+    }
+
     fn cutter(&self) -> Option<Cutter> {
         let mut extensions = hyper::http::Extensions::new();
         self.captured.connection_metadata().as_ref()?.get_extras(&mut extensions);
@@ -138,16 +193,11 @@
 }
 
 /// A probe that is out; given up, its connection is closed.
-struct Ask {
-    branch: Branch,
-    over: bool,
-}
+struct Ask(Branch);
 
 impl Drop for Ask {
     fn drop(&mut self) {
-        if !self.over {
-            self.branch.cut();
-        }
+        self.0.cut();
     }
 }
 
@@ -187,11 +237,12 @@
         let mut request = Request::post(format!("http://{}{}", self.address, job.path))
             .header("X-Txn", &job.id)
             .header("X-Remaining-Ms", left.as_millis() as u64)
-            .body(Full::new(job.body.clone()))?;
+            .body(Letter::default())?;
         if let Some(key) = &job.repeat_key {
             request.headers_mut().insert("idempotency-key", HeaderValue::from_str(key)?);
         }
-        let branch = Branch { captured: capture_connection(&mut request) };
+        let branch = Branch::new(&mut request);
+        *request.body_mut() = Letter::new(job.body.clone(), branch.clone());
         let client = if fresh { self.fresh.clone() } else { self.client.clone() };
         let (id, of) = (job.id.clone(), branch.clone());
         let address = self.address.clone();
@@ -203,25 +254,26 @@
             match answer {
                 Ok(answer) if answer.status() == StatusCode::OK => {
                     let mut body = answer.into_body();
-                    if !follow(&mut body, &id, &address, &mut teller).await {
-                        of.cut();
-                        return;
-                    }
-                    // Prevents: a connection whose answer was not read to its end is closed, and each
-                    // branch pays for a new one.
-                    let rest = async { while matches!(body.frame().await, Some(Ok(_))) {} };
-                    let _ = timeout(TAIL, rest).await;
+                    let (ending, report) = match follow(&mut body, &id, &mut teller).await {
+                        Ok(told) => told,
+                        Err(why) => {
+                            warn!(hop = address, transaction = id, why, "a branch broke in its answer");
+                            of.close();
+                            return of.tell(&mut teller, Ending::Reset, None);
+                        }
+                    };
+                    of.tell(&mut teller, ending, report);
+                    finish(body, &of).await;
                 }
                 Ok(answer) => {
-                    let report = header_report(&answer);
-                    let ending = refusal(&answer);
+                    let (ending, report) = (refusal(&answer), header_report(&answer));
                     let _ = timeout(TAIL, answer.into_body().collect()).await;
-                    teller.ended(ending, report);
+                    of.tell(&mut teller, ending, report);
                 }
                 Err(e) => {
                     let ending = broken(&e, &of);
                     warn!(hop = address, transaction = id, outcome = ?ending, why = chain(&e), "a branch broke before its answer");
-                    teller.ended(ending, None);
+                    of.tell(&mut teller, ending, None);
                 }
             }
         };
@@ -242,20 +294,21 @@
     }
 
     /// One try to get a load report; with whether its connection had been kept.
-    async fn ask(&self, client: &Client<Connector, Full<Bytes>>) -> (Status, bool, Option<Report>) {
-        let request = Request::get(format!("http://{}/-/load", self.address)).body(Full::default());
+    async fn ask(&self, client: &Client<Connector, Letter>) -> (Status, bool, Option<Report>) {
+        let request = Request::get(format!("http://{}/-/load", self.address)).body(Letter::default());
         let Ok(mut request) = request else { return (Status::ConnectFailed, false, None) };
-        let mut ask = Ask { branch: Branch { captured: capture_connection(&mut request) }, over: false };
+        let ask = Ask(Branch::new(&mut request));
+        *request.body_mut() = Letter::new(Bytes::new(), ask.0.clone());
         let answer = match client.request(request).await {
             Ok(answer) => answer,
             Err(e) if e.is_connect() => return (Status::ConnectFailed, false, None),
-            Err(_) => return (Status::Reset, ask.branch.kept(), None),
+            Err(_) => return (Status::Reset, ask.0.kept(), None),
         };
-        ask.branch.answered();
+        ask.0.answered();
         let (status, turned_away) = (answer.status(), answer.headers().contains_key("x-turned-away"));
         let header = header_report(&answer);
         let body = http_body_util::Limited::new(answer.into_body(), REPORT_MOST).collect().await;
-        ask.over = true;
+        ask.0.end();
         let report = body.ok().and_then(|b| read_report(&b.to_bytes())).or(header);
         let status = match status {
             StatusCode::OK => Status::Ok,
@@ -266,26 +319,24 @@
     }
 }
 
-/// Reads an answer up to its last line; whether its connection may be used again.
-async fn follow(body: &mut Incoming, id: &str, address: &str, teller: &mut impl Teller) -> bool {
-    let broke = |why: &str| warn!(hop = address, transaction = id, why, "a branch broke in its answer");
+/// Reads an answer up to its last line: how that ends the branch, or why the answer can't be used.
+async fn follow(
+    body: &mut Incoming,
+    id: &str,
+    teller: &mut impl Teller,
+) -> Result<(Ending, Option<Report>), String> {
     let mut line = Vec::new();
     loop {
         let frame = match body.frame().await {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            Some(Err(e)) => {
-                broke(&chain(&e));
-                teller.ended(Ending::Reset, None);
-                return false;
-            }
-            None => {
-                broke("ended without a last line");
-                teller.ended(Ending::Reset, None);
-                return false;
-            }
+            Some(Err(e)) => return Err(chain(&e)),
+            None => return Err("ended without a last line".into()),
         };
         for part in frame.split_inclusive(|&b| b == b'\n') {
             line.extend_from_slice(part);
+            if line.len() > LINE_MOST {
+                return Err("a line without end".into());
+            }
             if !part.ends_with(b"\n") {
                 continue;
             }
@@ -293,23 +344,11 @@
             if text.trim_ascii().is_empty() {
                 continue;
             }
-            let read = serde_json::from_slice::<Line>(&text);
-            let Line { state, load, .. } = match read {
+            let Line { state, load, .. } = match serde_json::from_slice::<Line>(&text) {
                 Ok(read) if read.id == id => read,
-                Ok(read) => {
-                    broke(&format!("a line for {}", read.id));
-                    teller.ended(Ending::Reset, None);
-                    return false;
-                }
-                Err(e) => {
-                    broke(&format!("malformed line: {e}"));
-                    teller.ended(Ending::Reset, None);
-                    return false;
-                }
+                Ok(read) => return Err(format!("a line for {}", read.id)),
+                Err(e) => return Err(format!("malformed line: {e}")),
             };
-            let report = load.map(|load| {
-                Conf::report(load.iter().filter_map(|(name, value)| Some((name.as_str(), value.as_f64()?))))
-            });
             let ending = match state {
                 State::Started => {
                     teller.news(News::Started);
@@ -324,17 +363,23 @@
                 State::Returned => Ending::TurnedAway,
                 State::Lost => Ending::Reset,
             };
-            teller.ended(ending, report);
-            return true;
-        }
-        if line.len() > LINE_MOST {
-            broke("a line without end");
-            teller.ended(Ending::Reset, None);
-            return false;
+            let report = load.map(|load| {
+                Conf::report(load.iter().filter_map(|(name, value)| Some((name.as_str(), value.as_f64()?))))
+            });
+            return Ok((ending, report));
         }
     }
 }
 
+/// Reads what an answer still holds after all that counts in it. Prevents: a connection whose answer was not read to
+/// its end is closed, and each branch pays for a new one.
+async fn finish(mut body: Incoming, of: &Branch) {
+    let rest = async { while matches!(body.frame().await, Some(Ok(_))) {} };
+    if timeout(TAIL, rest).await.is_err() {
+        of.close();
+    }
+}
+
 /// What an answer that is not 200 says.
 fn refusal(answer: &Response<Incoming>) -> Ending {
     let unseen = answer.headers().get("x-turned-away").is_some_and(|v| v == "1");
@@ -345,10 +390,12 @@
     }
 }
 
-/// What an error proves. It never ran if there was no connection, or if hyper gave the request back unwritten.
+/// What an error proves. It never ran if there was no connection, if hyper gave the request back unwritten, or if its
+/// connection took not a byte of it.
 fn broken(e: &Error, branch: &Branch) -> Ending {
     let mut source = std::error::Error::source(e);
-    let mut unwritten = e.is_connect() || branch.captured.connection_metadata().is_none();
+    let mut unwritten =
+        e.is_connect() || branch.captured.connection_metadata().is_none() || branch.never_wrote();
     while let Some(e) = source {
         unwritten |= e.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_canceled);
         source = e.source();
--- a/crates/net/src/hop/tests.rs
+++ b/crates/net/src/hop/tests.rs
@@ -137,3 +137,327 @@
     });
     server.join().unwrap();
 }
+
+/// A next hop that a test plays by hand: each side waits for what it has to have seen of the other.
+struct Worker {
+    listener: std::net::TcpListener,
+    tell: tokio::sync::mpsc::UnboundedSender<&'static str>,
+    go: std::sync::mpsc::Receiver<()>,
+}
+
+/// The dispatcher's side of it.
+struct Seen {
+    address: String,
+    told: tokio::sync::mpsc::UnboundedReceiver<&'static str>,
+    go: std::sync::mpsc::Sender<()>,
+}
+
+const SOON: Duration = Duration::from_secs(5);
+
+fn worker() -> (Worker, Seen) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (tell, told) = tokio::sync::mpsc::unbounded_channel();
+    let (send, go) = std::sync::mpsc::channel();
+    (Worker { listener, tell, go }, Seen { address, told, go: send })
+}
+
+impl Worker {
+    fn accept(&self) -> std::net::TcpStream {
+        let stream = self.listener.accept().unwrap().0;
+        stream.set_read_timeout(Some(SOON)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        stream
+    }
+
+    /// Tells how far it is, and waits for its turn.
+    fn at(&self, what: &'static str) {
+        self.tell.send(what).unwrap();
+        self.go.recv_timeout(SOON).unwrap();
+    }
+}
+
+impl Seen {
+    async fn told(&mut self, what: &str) {
+        assert_eq!(timeout(SOON, self.told.recv()).await.unwrap_or(Some("nothing")), Some(what));
+    }
+
+    /// The same, and the runtime does not hear of anything meanwhile.
+    fn told_while_deaf(&mut self, what: &str) {
+        let end = std::time::Instant::now() + SOON;
+        let told = loop {
+            match self.told.try_recv() {
+                Ok(told) => break told,
+                Err(_) => assert!(std::time::Instant::now() < end, "nothing told"),
+            }
+            std::thread::yield_now();
+        };
+        assert_eq!(told, what);
+    }
+
+    fn go(&self) {
+        self.go.send(()).unwrap();
+    }
+}
+
+/// Reads a request up to the end of its body; its head.
+fn read_request(stream: &mut std::net::TcpStream) -> String {
+    use std::io::Read;
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        assert_eq!(stream.read(&mut byte).unwrap(), 1, "closed; so far {:?}", String::from_utf8_lossy(&head));
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).unwrap();
+    let length =
+        head.lines().find_map(|l| l.strip_prefix("content-length: ")).map_or(0, |l| l.parse().unwrap());
+    stream.read_exact(&mut vec![0; length]).unwrap();
+    head
+}
+
+/// A whole answer with this body, after which its connection is at rest at once.
+fn answer(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+fn done(id: &str) -> String {
+    answer("200 OK", &format!("{{\"id\":\"{id}\",\"state\":\"done\",\"result\":\"{id}\"}}\n"))
+}
+
+fn served(id: &'static str) -> (Ending, Option<Report>) {
+    (Ending::Served(Bytes::from(id)), None)
+}
+
+fn job(id: &str, body: usize) -> Job {
+    Job { id: id.into(), path: "/c".into(), repeat_key: None, body: vec![b'x'; body].into() }
+}
+
+fn hop(address: &str) -> Hop {
+    Hop::new(address, Keeping { connect: SOON, idle: SOON, probe: SOON, most_idle: 2 })
+}
+
+fn play(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(test);
+}
+
+/// Lets all go on that has something to do. What was sent on loopback is there by now.
+async fn settle() {
+    for _ in 0..32 {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// An attempt that goes on by itself, and its end.
+struct Out {
+    branch: Branch,
+    ends: std::sync::mpsc::Receiver<(Ending, Option<Report>)>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Out {
+    fn start(hop: &Hop, job: &Job, fresh: bool) -> Out {
+        let (tell, ends) = std::sync::mpsc::channel();
+        let (branch, drive) = hop.branch(job, SOON, fresh, Ends(tell)).unwrap();
+        Out { branch, ends, task: tokio::spawn(drive) }
+    }
+
+    async fn end(self) -> (Ending, Option<Report>) {
+        timeout(SOON, self.task).await.expect("no end").unwrap();
+        let end = self.ends.try_recv().unwrap();
+        assert!(self.ends.try_recv().is_err(), "two ends");
+        end
+    }
+}
+
+// Guards against a cut that crosses the end of its attempt, and closes the connection under the next one, whose import
+// is lost as one that may have run. In each way in which an end leaves the connection to others.
+#[test]
+fn a_cut_that_comes_after_the_last_word_leaves_the_connection_to_the_next_attempt() {
+    let line = |state: &str| answer("200 OK", &format!("{{\"id\":\"a\",\"state\":\"{state}\"}}\n"));
+    let turned = "503 Busy\r\nX-Turned-Away: 1";
+    let words = [
+        (line("done"), Ending::Served(Bytes::new())),
+        (line("failed"), Ending::Error),
+        (line("returned"), Ending::TurnedAway),
+        (line("lost"), Ending::Reset),
+        (answer(turned, ""), Ending::TurnedAway),
+        (answer("500 Broken", "x"), Ending::Error),
+        (answer("400 Bad", "x"), Ending::Unusable),
+    ];
+    for (text, ending) in words {
+        let (worker, mut seen) = worker();
+        let first = text.clone();
+        let server = std::thread::spawn(move || {
+            use std::io::Write;
+            let mut stream = worker.accept();
+            read_request(&mut stream);
+            stream.write_all(first.as_bytes()).unwrap();
+            read_request(&mut stream);
+            worker.at("has the second");
+            stream.write_all(done("b").as_bytes()).unwrap();
+        });
+        play(async {
+            let hop = hop(&seen.address);
+            let a = Out::start(&hop, &job("a", 9), false);
+            let cut = a.branch.clone();
+            assert_eq!(a.end().await, (ending, None), "{text}");
+            settle().await;
+            let b = Out::start(&hop, &job("b", 9), false);
+            seen.told("has the second").await;
+            cut.cut();
+            settle().await;
+            seen.go();
+            assert_eq!(b.end().await, served("b"), "{text}");
+        });
+        server.join().unwrap();
+    }
+}
+
+// Guards against the same from within: an answer that can't be used is found out only when its connection has been
+// read to the end, and has the next attempt on it.
+#[test]
+fn an_answer_of_no_use_does_not_take_the_next_attempt_with_it() {
+    for body in
+        ["what?\n", "{\"id\":\"z\",\"state\":\"done\"}\n", " \n", "{\"id\":\"a\",\"state\":\"started\"}\n"]
+    {
+        let (worker, mut seen) = worker();
+        let server = std::thread::spawn(move || {
+            use std::io::Write;
+            let mut stream = worker.accept();
+            read_request(&mut stream);
+            let text = answer("200 OK", body);
+            let (head, rest) = text.split_at(text.len() - body.len());
+            stream.write_all(head.as_bytes()).unwrap();
+            worker.at("sent the head");
+            stream.write_all(rest.as_bytes()).unwrap();
+            worker.at("sent it all");
+            read_request(&mut stream);
+            worker.at("has the second");
+            stream.write_all(done("b").as_bytes()).unwrap();
+        });
+        play(async {
+            let hop = hop(&seen.address);
+            let (tell, ends) = std::sync::mpsc::channel();
+            let (a, drive) = hop.branch(&job("a", 9), SOON, false, Ends(tell)).unwrap();
+            let mut drive = std::pin::pin!(drive);
+            let mut go_on = async || {
+                let mut over = false;
+                std::future::poll_fn(|cx| {
+                    over = drive.as_mut().poll(cx).is_ready();
+                    std::task::Poll::Ready(())
+                })
+                .await;
+                over
+            };
+            // It has seen the head, and does not look again until the next one is out.
+            while !a.kept() {
+                assert!(!go_on().await);
+                settle().await;
+            }
+            seen.told("sent the head").await;
+            seen.go();
+            seen.told("sent it all").await;
+            settle().await;
+            let b = Out::start(&hop, &job("b", 9), false);
+            seen.go();
+            seen.told("has the second").await;
+            while !go_on().await {
+                settle().await;
+            }
+            assert_eq!(ends.try_recv().unwrap(), (Ending::Reset, None), "{body}");
+            settle().await;
+            seen.go();
+            assert_eq!(b.end().await, served("b"), "{body}");
+        });
+        server.join().unwrap();
+    }
+}
+
+// Guards against an import that is lost as one that may have run, though its connection was dead before a byte of it
+// was written; and against what came late for one attempt being taken as the answer of the next. The runtime has not
+// heard of it when the request is written.
+#[test]
+fn a_kept_connection_that_died_or_spoke_unasked_before_the_request_gets_not_a_byte_of_it() {
+    let late = answer("503 Busy\r\nX-Turned-Away: 1", "");
+    let shots =
+        [None, Some(String::new()), Some("{\"id\":".into()), Some(done("a")), Some(done("b")), Some(late)];
+    for (shot, size) in shots.iter().flat_map(|s| [(s, 0), (s, 9), (s, 64 << 10)]) {
+        let (worker, mut seen) = worker();
+        let text = shot.clone();
+        let server = std::thread::spawn(move || {
+            use std::io::{Read, Write};
+            let mut stream = worker.accept();
+            read_request(&mut stream);
+            stream.write_all(done("a").as_bytes()).unwrap();
+            worker.at("answered");
+            match text {
+                // Closed; reset; or not asked for.
+                None => drop(stream),
+                Some(text) if text.is_empty() => {
+                    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                    drop(stream);
+                }
+                Some(text) => {
+                    stream.write_all(text.as_bytes()).unwrap();
+                    worker.at("spoke");
+                    let mut rest = Vec::new();
+                    let _ = stream.read_to_end(&mut rest);
+                    assert_eq!(String::from_utf8_lossy(&rest), "");
+                    let mut stream = worker.accept();
+                    read_request(&mut stream);
+                    return stream.write_all(done("c").as_bytes()).unwrap();
+                }
+            }
+            worker.at("spoke");
+            let mut stream = worker.accept();
+            read_request(&mut stream);
+            stream.write_all(done("c").as_bytes()).unwrap();
+        });
+        play(async {
+            let hop = hop(&seen.address);
+            assert_eq!(Out::start(&hop, &job("a", size), false).end().await, served("a"));
+            seen.told("answered").await;
+            settle().await;
+            seen.go();
+            let (tell, ends) = std::sync::mpsc::channel();
+            let (_, drive) = hop.branch(&job("b", size), SOON, false, Ends(tell)).unwrap();
+            // From here on the runtime looks at no socket before the request is written.
+            seen.told_while_deaf("spoke");
+            drive.await;
+            assert_eq!(ends.try_recv().unwrap(), (Ending::NotConnected, None), "{shot:?} {size}");
+            seen.go();
+            assert_eq!(Out::start(&hop, &job("c", size), false).end().await, served("c"));
+        });
+        server.join().unwrap();
+    }
+}
+
+// Guards against the opposite: a request of which some bytes are out counts as one that never ran.
+#[test]
+fn a_request_that_was_written_in_part_may_have_run() {
+    for kept in [true, false] {
+        let (worker, seen) = worker();
+        let server = std::thread::spawn(move || {
+            use std::io::{Read, Write};
+            let mut stream = worker.accept();
+            if kept {
+                read_request(&mut stream);
+                stream.write_all(done("a").as_bytes()).unwrap();
+            }
+            // Of 64 MB the rest is under way: it closes over unread bytes.
+            assert_eq!(stream.read(&mut [0]).unwrap(), 1);
+        });
+        play(async {
+            let hop = hop(&seen.address);
+            if kept {
+                assert_eq!(Out::start(&hop, &job("a", 9), false).end().await, served("a"));
+                settle().await;
+            }
+            let ending = if kept { Ending::KeptReset } else { Ending::Reset };
+            assert_eq!(Out::start(&hop, &job("b", 64 << 20), false).end().await, (ending, None));
+        });
+        server.join().unwrap();
+    }
+}
