Next hops: what one says before and after its last word is bounded, and told in time

Seen by reading hop/mod.rs: `follow` told the core of every line, through a queue without bound, for as long as the attempt lived; a line could take 1 MiB; an answer other than 200 was told only after its body had been collected into memory, for up to 500 ms at any speed; and what came after the last line was read for as long, at any speed.

Now the start is told once and a share of progress every 50 ms at most (hop/pace.rs), which is as often as anybody looks. What goes beyond ends the attempt as a reset and closes its connection. An answer other than 200 is told when its head has come. The rest of any answer is read for 500 ms and 64 KiB; if it has no end then, its connection is closed.

Ruled out: a bounded channel to the core, as the ends of attempts go the same way and may not wait or be dropped.

--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -2,6 +2,7 @@
 
 mod letter;
 mod line;
+mod pace;
 
 use crate::config::Sockets;
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use letter::Letter;
 use line::{Connector, Cutter};
+use pace::Pace;
 use pumiceway_core::{Ending, Job, News};
 use pumiceway_decisions::api::{Report, Status};
 use pumiceway_decisions::settings::Conf;
@@ -21,17 +23,22 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tracing::warn;
 
 /// A probe is answered within this time or has failed, and within the second one of its connection's coming up.
 const PROBE: Duration = Duration::from_millis(500);
 const PROBE_ANSWER: Duration = Duration::from_millis(250);
-/// A line of an answer may be this long, and a load report.
-const LINE_MOST: usize = 1 << 20;
+/// A line of an answer may be this long: a result of 64 KiB of which JSON writes each byte as six, and what goes with
+/// it. And a load report.
+const LINE_MOST: usize = (6 * 64 + 16) << 10;
 const REPORT_MOST: usize = 16 << 10;
-/// After the last line an answer ends within this time, or its connection is not used again.
+/// A piece of a line counts as so many bytes at least. Prevents: a line in pieces of one byte each takes as much work
+/// as one that is many times as long.
+const PART_LEAST: usize = 16;
+/// After the last line an answer ends within this time and so many bytes, or its connection is not used again.
 const TAIL: Duration = Duration::from_millis(500);
+const TAIL_MOST: usize = 64 << 10;
 
 /// How connections to next hops are kept.
 #[derive(Clone, Copy, Debug)]
@@ -266,9 +273,9 @@
                     finish(body, &of).await;
                 }
                 Ok(answer) => {
-                    let (ending, report) = (refusal(&answer), header_report(&answer));
-                    let _ = timeout(TAIL, answer.into_body().collect()).await;
-                    of.tell(&mut teller, ending, report);
+                    // Prevents: whoever waits for the end of a body that says nothing more waits for one without end.
+                    of.tell(&mut teller, refusal(&answer), header_report(&answer));
+                    finish(answer.into_body(), &of).await;
                 }
                 Err(e) => {
                     let ending = broken(&e, &of);
@@ -325,7 +332,8 @@
     id: &str,
     teller: &mut impl Teller,
 ) -> Result<(Ending, Option<Report>), String> {
-    let mut line = Vec::new();
+    let mut pace = Pace::start(Instant::now());
+    let (mut line, mut cost) = (Vec::new(), 0);
     loop {
         let frame = match body.frame().await {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -334,14 +342,17 @@
         };
         for part in frame.split_inclusive(|&b| b == b'\n') {
             line.extend_from_slice(part);
-            if line.len() > LINE_MOST {
+            cost += part.len().max(PART_LEAST);
+            if cost > LINE_MOST {
                 return Err("a line without end".into());
             }
             if !part.ends_with(b"\n") {
                 continue;
             }
-            let text = std::mem::take(&mut line);
+            let (text, cost) = (std::mem::take(&mut line), std::mem::take(&mut cost));
+            let now = Instant::now();
             if text.trim_ascii().is_empty() {
+                pace.take(now, cost)?;
                 continue;
             }
             let Line { state, load, .. } = match serde_json::from_slice::<Line>(&text) {
@@ -351,11 +362,17 @@
             };
             let ending = match state {
                 State::Started => {
-                    teller.news(News::Started);
+                    pace.take(now, cost)?;
+                    if pace.starts() {
+                        teller.news(News::Started);
+                    }
                     continue;
                 }
                 State::Running { share } => {
-                    teller.news(News::Share(share));
+                    pace.take(now, cost)?;
+                    if pace.shares(now) {
+                        teller.news(News::Share(share));
+                    }
                     continue;
                 }
                 State::Done { result } => Ending::Served(result.into()),
@@ -372,10 +389,19 @@
 }
 
 /// Reads what an answer still holds after all that counts in it. Prevents: a connection whose answer was not read to
-/// its end is closed, and each branch pays for a new one.
+/// its end is closed, and each branch pays for a new one. An answer that does not end is not read for ever.
 async fn finish(mut body: Incoming, of: &Branch) {
-    let rest = async { while matches!(body.frame().await, Some(Ok(_))) {} };
-    if timeout(TAIL, rest).await.is_err() {
+    let rest = async {
+        let mut read = 0;
+        while let Some(frame) = body.frame().await {
+            read += frame.ok()?.data_ref().map_or(0, Bytes::len);
+            if read > TAIL_MOST {
+                return None;
+            }
+        }
+        Some(())
+    };
+    if !matches!(timeout(TAIL, rest).await, Ok(Some(()))) {
         of.close();
     }
 }
--- a/crates/net/src/hop/tests.rs
+++ b/crates/net/src/hop/tests.rs
@@ -461,3 +461,191 @@
         server.join().unwrap();
     }
 }
+
+/// A chunked answer's head, and a chunk.
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Writes one text after the other until nobody reads it any more; how much went out.
+fn flood(stream: &mut std::net::TcpStream, first: &str, again: &str) -> usize {
+    use std::io::Write;
+    let again = again.repeat(1 + (16 << 10) / again.len());
+    let mut out = first.len();
+    let mut open = stream.write_all(first.as_bytes()).is_ok();
+    while open {
+        out += again.len();
+        open = stream.write_all(again.as_bytes()).is_ok();
+    }
+    out
+}
+
+/// What sockets on both sides may hold, in bytes, that nobody has read.
+const BUFFERED: usize = 32 << 20;
+
+/// Hears what a branch tells, and when it ends.
+#[derive(Clone, Default)]
+struct Heard(Arc<std::sync::Mutex<(Vec<News>, Vec<Ending>)>>);
+
+impl Teller for Heard {
+    fn news(&self, news: News) {
+        self.0.lock().unwrap().0.push(news);
+    }
+
+    fn ended(&mut self, ending: Ending, _: Option<Report>) {
+        self.0.lock().unwrap().1.push(ending);
+    }
+}
+
+impl Heard {
+    fn ends(&self) -> Vec<Ending> {
+        self.0.lock().unwrap().1.clone()
+    }
+}
+
+// Guards against a next hop that talks without end for as long as its attempt may last: each line went into a queue
+// without bound, and kept everyone else waiting.
+#[test]
+fn an_answer_without_end_ends_as_a_reset_and_fills_no_queue() {
+    let line = |rest: &str| chunk(&format!("{{\"id\":\"a\",{rest}}}\n"));
+    let started = line("\"state\":\"started\"");
+    let floods = [
+        ("lines without end", started.clone()),
+        ("lines without end", line("\"state\":\"running\",\"share\":0.5")),
+        ("lines without end", started + &line("\"state\":\"running\"")),
+        ("lines without end", chunk("\n")),
+        ("lines without end", chunk(" \n\n")),
+        ("a line without end", chunk("x")),
+        ("a line without end", chunk(&" ".repeat(4096))),
+        ("a line without end", chunk(&"\0".repeat(30_000))),
+    ];
+    for (why, text) in floods {
+        let (worker, seen) = worker();
+        let again = text.clone();
+        let server = std::thread::spawn(move || {
+            let mut stream = worker.accept();
+            read_request(&mut stream);
+            flood(&mut stream, CHUNKED, &again)
+        });
+        play(async {
+            let heard = Heard::default();
+            let hop = hop(&seen.address);
+            let (_, drive) = hop.branch(&job("a", 9), SOON, false, heard.clone()).unwrap();
+            let start = Instant::now();
+            let over = timeout(SOON, drive).await.is_ok();
+            let told = heard.0.lock().unwrap().clone();
+            let most = 2 + start.elapsed().as_millis() / 50;
+            assert!(over, "{why}: still out, with {} pieces of news", told.0.len());
+            assert_eq!(told.1, [Ending::Reset], "{why}");
+            assert!(told.0.len() as u128 <= most, "{why}: {} pieces of news", told.0.len());
+            assert!(told.0.iter().filter(|n| matches!(n, News::Started)).count() <= 1, "{why}");
+            settle().await;
+        });
+        assert!(server.join().unwrap() < BUFFERED, "{why}");
+    }
+}
+
+// Guards against bounds that real next hops reach: the largest result in the longest form that JSON has for it, after
+// many signs of life.
+#[test]
+fn the_largest_result_comes_through_after_many_signs_of_life() {
+    let (worker, seen) = worker();
+    let server = std::thread::spawn(move || {
+        use std::io::Write;
+        let mut stream = worker.accept();
+        read_request(&mut stream);
+        let mut text = CHUNKED.to_owned();
+        for n in 0..300 {
+            text += &chunk(&format!(
+                "{{\"id\":\"a\",\"from\":\"w\",\"state\":\"running\",\"share\":{}}}\n",
+                n as f64 / 300.0
+            ));
+        }
+        let result = "\\u0001".repeat(64 << 10);
+        text += &chunk(&format!(
+            "{{\"id\":\"a\",\"from\":\"w\",\"state\":\"done\",\"result\":\"{result}\",\"load\":{{\"x0\":3}}}}\n"
+        ));
+        stream.write_all((text + "0\r\n\r\n").as_bytes()).unwrap();
+    });
+    play(async {
+        let (ending, report) = Out::start(&hop(&seen.address), &job("a", 9), false).end().await;
+        assert!(matches!(ending, Ending::Served(result) if result.len() == 64 << 10));
+        assert_eq!(report.unwrap().free_slots, Some(3.0));
+    });
+    server.join().unwrap();
+}
+
+// Guards against a pace that drops the first sign of progress, or all later ones.
+#[test]
+fn progress_is_told_at_once_and_then_now_and_then() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut pace = Pace::start(start);
+    assert!(pace.starts() && !pace.starts());
+    let told: Vec<u64> = (0..200).filter(|&ms| pace.shares(at(ms))).collect();
+    assert_eq!(told, [0, 50, 100, 150]);
+    // Ten lines a second for an hour, and a thousand at once, but not for long.
+    assert!((0..36_000).all(|n| pace.take(at(100 * n), 100).is_ok()));
+    let mut pace = Pace::start(start);
+    assert!((0..600).all(|_| pace.take(start, 100).is_ok()));
+    assert!(!(0..600).all(|_| pace.take(start, 100).is_ok()));
+}
+
+// Guards against an answer that is held back, or read for ever, for what comes after its last word or after a status
+// that says all; and against using a connection again on which that is still to come.
+#[test]
+fn what_never_ends_after_the_last_word_costs_its_connection_and_holds_nothing_back() {
+    let last = chunk("{\"id\":\"a\",\"state\":\"done\",\"result\":\"a\"}\n");
+    let endless = "Transfer-Encoding: chunked\r\n\r\n";
+    let cases = [
+        (format!("{CHUNKED}{last}"), chunk("{\"id\":\"a\",\"state\":\"failed\"}\n"), served("a").0),
+        (format!("{CHUNKED}{last}"), chunk("x"), served("a").0),
+        (
+            "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n{\"id\":\"a\",\"state\":\"done\",\"result\":\"a\"}\n".into(),
+            "x".into(),
+            served("a").0,
+        ),
+        (format!("HTTP/1.1 500 Broken\r\n{endless}"), chunk("x"), Ending::Error),
+        (format!("HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\n{endless}"), chunk("xyz"), Ending::TurnedAway),
+        ("HTTP/1.1 404 None\r\nContent-Length: 99999999999\r\n\r\n".into(), "x".into(), Ending::Unusable),
+        (format!("HTTP/1.1 302 There\r\n{endless}"), chunk("x"), Ending::Error),
+    ];
+    let floods = cases.iter().map(|c| (c, false));
+    for ((first, again, ending), silent) in floods.chain([(&cases[0], true), (&cases[4], true)]) {
+        let (worker, mut seen) = worker();
+        let (begin, go_on) = (first.clone(), again.clone());
+        let server = std::thread::spawn(move || {
+            use std::io::{Read, Write};
+            let mut stream = worker.accept();
+            read_request(&mut stream);
+            stream.write_all(begin.as_bytes()).unwrap();
+            worker.at("said it");
+            let out = match silent {
+                true => stream.read(&mut [0]).unwrap(),
+                false => flood(&mut stream, "", &go_on),
+            };
+            let mut stream = worker.accept();
+            read_request(&mut stream);
+            stream.write_all(done("b").as_bytes()).unwrap();
+            out
+        });
+        play(async {
+            let heard = Heard::default();
+            let hop = hop(&seen.address);
+            let (_, drive) = hop.branch(&job("a", 9), SOON, false, heard.clone()).unwrap();
+            let task = tokio::spawn(drive);
+            seen.told("said it").await;
+            settle().await;
+            // It is told before anything of the rest has come.
+            assert_eq!(heard.ends(), std::slice::from_ref(ending), "{first}");
+            seen.go();
+            timeout(SOON, task).await.expect("no end").unwrap();
+            assert_eq!(heard.ends(), std::slice::from_ref(ending), "{first}");
+            settle().await;
+            assert_eq!(Out::start(&hop, &job("b", 9), false).end().await, served("b"), "{first}");
+        });
+        assert!(server.join().unwrap() < BUFFERED, "{first}");
+    }
+}
