Discovery: a watch's values are read however they are laid out

Lists may come indented.

The stream is now cut where a bracket closes what it opened first, each byte looked at once however the frames fall (discovery/stream.rs); serde_json's StreamDeserializer was ruled out, as it begins anew at the front of the value with each frame: quadratic for a long list that is written line by line. A value that stays half ends the watch as before, and the empty lines of a discovery with nothing to tell no longer count as its progress.

--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -1,6 +1,7 @@
 //! Discovery: the route set as the platform's service lists it, by list and by watch.
 
 pub mod pace;
+mod stream;
 pub mod zookeeper;
 
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use serde::Deserialize;
 use std::sync::Arc;
 use std::time::Duration;
+use stream::Pieces;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -27,7 +29,7 @@
 const AGENT_CALL: Duration = Duration::from_secs(1);
 /// Discovery sends a line every 2 s. One that is missing for this long tells that the watch is lost.
 const SILENCE: Duration = Duration::from_millis(2_500);
-/// A line of a watch may be this long.
+/// A value that a watch tells may be this long, and a whole list.
 const LINE_MOST: usize = 4 << 20;
 
 /// A list, or the changes to one, as discovery words it.
@@ -188,30 +190,30 @@
         }
         let path = format!("/api/targets?stream=1&index={}", self.index.unwrap_or_default());
         let mut body = self.call(&mut sender, &path).await?;
-        // Prevents: a line that trickles in keeps the watch for ever. It is whole within the time of a silence.
-        let (mut line, mut begun) = (Vec::new(), Instant::now());
+        // Prevents: a value that trickles in keeps the watch for ever. It is whole within the time of a silence.
+        let (mut pieces, mut begun) = (Pieces::default(), Instant::now());
         while let Some(frame) = next(&mut body, begun + SILENCE).await? {
-            if line.is_empty() || frame.contains(&b'\n') {
+            if pieces.held().is_empty() {
                 begun = Instant::now();
             }
-            for part in frame.split_inclusive(|&b| b == b'\n') {
-                line.extend_from_slice(part);
-                check_length(&line)?;
-                if part.ends_with(b"\n") {
-                    self.heard(&std::mem::take(&mut line), false)?;
-                }
+            let mut frame = &frame[..];
+            while let Some(piece) = pieces.next(&mut frame) {
+                check_length(&piece)?;
+                self.heard(&piece, false)?;
+                begun = Instant::now();
             }
+            check_length(pieces.held())?;
         }
         Ok(())
     }
 
-    /// Takes in a line, or the answer to a call that asked for the whole list.
+    /// Takes in a value, or the answer to a call that asked for the whole list.
     fn heard(&mut self, line: &[u8], asked: bool) -> Result<(), Broken> {
         if line.trim_ascii().is_empty() {
             return Ok(());
         }
         let listing: Listing =
-            serde_json::from_slice(line).map_err(|e| Broken::Malformed(format!("malformed line: {e}")))?;
+            serde_json::from_slice(line).map_err(|e| Broken::Malformed(format!("malformed: {e}")))?;
         let whole = listing.snapshot;
         // Prevents: changes to a list that was never told are taken for all there is.
         if self.index.is_none() && !whole && !asked {
