A keyed repeat is decided only while it can still arrive within its window

By reading: validity.rs allowed a repeat while now < first attempt + window, but the attempt may wait for its connection for as long as Keeping::new grants (up to 1 s), so a repeat decided in the window reached its worker after it and ran again. Windows may be 0.8 s. The same held for second copies, which ask the same place.

The bound on a connection is now worked out once, Conf::connect_within, used by Keeping::new and told to the decisions as Settings::connect_timeout (which nobody read before). A repeat has to be in time with that bound added.

Also: the group of a repeat was where the first worker is listed NOW; a worker that came back elsewhere took the repeat to a zone or cell that knows nothing of the key. An attempt now keeps zone and cell of its send.

Ruled out: the window counts from the first attempt that may have run (attempts that never ran are skipped), and the same worker never gets a repeat. A refusal of group all after the window is permitted, and stays.

--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -149,7 +149,7 @@
     pub max_retry_after: Micros,
     /// Attempts that one request may have.
     pub max_attempts: usize,
-    /// A connection not made within this time has failed.
+    /// A connection not made within this time has failed: so long after it is decided an attempt may arrive.
     pub connect_timeout: Micros,
     /// A connection unused for this long closes; 0 where that is not known.
     pub connection_idle: Micros,
--- a/crates/decisions/src/policy/life.rs
+++ b/crates/decisions/src/policy/life.rs
@@ -63,8 +63,7 @@
         }
         match status {
             Status::Ok => {
-                let kind = self.m.w(worker).kind.0;
-                let pace = &mut self.m.kind_pace[kind];
+                let pace = &mut self.m.kind_pace[self.m.workers[worker.0 as usize].kind.0];
                 // Prevents: a pace is learnt from a running time that was only guessed.
                 if self.m.classes[class].served > 0 {
                     *pace += LEARN * (ran as f64 / expected - *pace);
@@ -139,12 +138,9 @@
     /// The request has its final answer: call off what is still out.
     pub(super) fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.m.requests.get_mut(&id) else { return };
-        if !r.answered && self.s.cancel {
-            for (attempt, _) in r.attempts.iter().enumerate().filter(|(_, a)| a.fate == Fate::Out) {
-                out.push(Action::Cancel { request: id, attempt });
-            }
-        }
-        r.answered = true;
+        let off = !std::mem::replace(&mut r.answered, true) && self.s.cancel;
+        let open = r.attempts.iter().enumerate().filter(|(_, a)| off && a.fate == Fate::Out);
+        out.extend(open.map(|(attempt, _)| Action::Cancel { request: id, attempt }));
         self.m.forget(id);
     }
 
--- a/crates/decisions/src/policy/validity.rs
+++ b/crates/decisions/src/policy/validity.rs
@@ -15,8 +15,8 @@
 pub(super) struct Allowed {
     pub(super) refuse: bool,
     pub(super) resend: bool,
-    /// Resends only to the group of this worker.
-    within: Option<(Group, WorkerId)>,
+    /// Resends only to the group that the worker of this attempt was in.
+    within: Option<(Group, Attempt)>,
 }
 
 impl Balancer {
@@ -28,8 +28,10 @@
         let (refuse, resend, within) = match (doubtful.next(), self.s.classes[r.class.0].effect) {
             (None, _) | (_, Effect::Safe) => (true, more, None),
             (_, Effect::Unsafe) => (false, false, None),
+            // Prevents: a repeat decided in the window reaches its worker after it, as its connection comes up late.
             (Some(first), Effect::Keyed { group, window }) => {
-                (group == Group::All, more && now < first.sent + window, Some((group, first.worker)))
+                let in_time = now + self.s.connect_timeout < first.sent + window;
+                (group == Group::All, more && in_time, Some((group, *first)))
             }
         };
         Allowed { refuse, resend, within }
@@ -42,8 +44,8 @@
             || self.s.classes[r.class.0].effect != Effect::Safe && now < self.m.last_safe + TRIAL_OF_SAFE;
         let in_group = match allowed.within {
             None | Some((Group::All, _)) => true,
-            Some((Group::Zone, first)) => w.zone == self.m.w(first).zone,
-            Some((Group::Cell, first)) => w.cell.is_some() && w.cell == self.m.w(first).cell,
+            Some((Group::Zone, first)) => w.zone == first.zone,
+            Some((Group::Cell, first)) => w.cell.is_some() && w.cell == first.cell,
         };
         w.state == WorkerState::Ready
             && w.bad_until.is_none()
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -332,6 +332,15 @@
         }
     }
 
+    /// A connection to a worker comes up within this time or has failed. The one place that says so, for those who
+    /// open them and for those who decide what may still be sent.
+    pub fn connect_within(&self) -> Micros {
+        let or = |us, default| if us == 0 { default } else { us };
+        // Prevents: an attempt waits for its connection while its worker begins to drain, and is written to it after
+        // the grace is over.
+        or(self.limits.connect_timeout_us, 1_000_000).min(or(self.rules.drain_grace_us / 2, 1_000_000))
+    }
+
     /// The same in the terms of the decision module, checked.
     pub fn settings(&self) -> Result<Settings, ConfError> {
         let my_zone = match &self.my_zone {
@@ -361,7 +370,7 @@
             retry_after: self.limits.retry_after,
             max_retry_after: self.limits.max_retry_after_us,
             max_attempts: self.limits.most_tries,
-            connect_timeout: self.limits.connect_timeout_us,
+            connect_timeout: self.connect_within(),
             connection_idle: self.limits.conn_idle_us,
             resolution: self.resolution_us,
             tells_start: self.family_info.tells_start,
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -152,6 +152,9 @@
 #[derive(Clone, Copy)]
 pub(crate) struct Attempt {
     pub(crate) worker: WorkerId,
+    /// Where the worker was then: who knows a repeat of it.
+    pub(crate) zone: ZoneId,
+    pub(crate) cell: Option<u64>,
     pub(crate) sent: Micros,
     pub(crate) fate: Fate,
     pub(crate) started: bool,
@@ -265,8 +268,18 @@
         }
         let idle = now.saturating_sub(w.used);
         w.used = now;
-        let (fate, started, overdue) = (Fate::Out, false, false);
-        r.attempts.push(Attempt { worker, sent: now, fate, started, heard: now, began: now, overdue, idle });
+        r.attempts.push(Attempt {
+            worker,
+            zone: w.zone,
+            cell: w.cell,
+            sent: now,
+            fate: Fate::Out,
+            started: false,
+            began: now,
+            heard: now,
+            overdue: false,
+            idle,
+        });
         self.watch(worker);
         Some(idle)
     }
--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -46,10 +46,7 @@
     /// What the settings and the share of descriptors ask for.
     pub fn new(conf: &Conf, sockets: &Sockets) -> Keeping {
         let or = |us, default| Duration::from_micros(if us == 0 { default } else { us });
-        let connect = or(conf.limits.connect_timeout_us, 1_000_000);
-        // Prevents: a branch waits for its connection while its next hop begins to drain, and is written to it after
-        // the grace is over.
-        let connect = connect.min(or(conf.rules.drain_grace_us / 2, 1_000_000));
+        let connect = Duration::from_micros(conf.connect_within());
         Keeping {
             connect,
             // Prevents: where connections may take long to come up, each probe that opens one takes its next hop out.
