Sockets: all parts together are no more than there are; a lack here blames no next hop

Lines at fault: config.rs Sockets::share_out gave clients 11/20 and bounded idle connections for each next hop only (three to each of 170), those in use not at all; hop/mod.rs opened what it liked. A connection that can't be opened for want of a descriptor also counted against its next hop, which is then closed. Now: 9/20 for clients, 9/20 for next hops, a permit for each socket to a next hop; what is idle and unused for longest makes room; a job that finds none is not tried (Moot), and so busy at once. Ruled out: memory (12 of 56 MB), CPU (0.01 s a second).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -138,6 +138,8 @@
     TurnedAway,
     /// It provably never reached the next hop.
     NotConnected,
+    /// There was nothing to try it with here: it never ran, and that says nothing of the next hop.
+    NotTried,
     /// The connection ended before the result; it may have run.
     Reset,
     /// The same before any answer, on a connection kept from an earlier one: the next hop may be well.
@@ -155,6 +157,7 @@
             Ending::Unusable => "unusable",
             Ending::TurnedAway => "turned away",
             Ending::NotConnected => "not connected",
+            Ending::NotTried => "not tried",
             Ending::Reset => "reset",
             Ending::KeptReset => "reset when kept",
             Ending::TimedOut => "timed out",
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -449,6 +449,7 @@
             Ending::Error => Status::Error,
             Ending::TurnedAway => Status::Full,
             Ending::NotConnected => Status::ConnectFailed,
+            Ending::NotTried => Status::Moot,
             Ending::Reset => Status::Reset,
             Ending::KeptReset => {
                 self.distrust_until = now + DISTRUST;
--- a/crates/decisions/src/policy/probes.rs
+++ b/crates/decisions/src/policy/probes.rs
@@ -31,7 +31,7 @@
         } else if status == Status::Full {
             // Prevents: a worker that only answers no more probes at once counts as dead.
             w.heard = now;
-        } else if w.bad_until.is_some() || w.probe_at >= awake {
+        } else if status != Status::Moot && (w.bad_until.is_some() || w.probe_at >= awake) {
             // Prevents: a worker that did not answer a probe is sent the next job all the same.
             w.down_at = now;
             self.condemn(now, worker);
--- a/crates/net/src/config.rs
+++ b/crates/net/src/config.rs
@@ -139,10 +139,10 @@
 pub struct Sockets {
     /// Connections of clients that are served.
     pub inbound: usize,
-    /// Further ones that only get a busy answer.
+    /// Further ones that only get a busy answer; and as many again whose end is not over.
     pub spare: usize,
-    /// Idle connections to all next hops together.
-    pub idle: usize,
+    /// Connections to all next hops together, in use or idle.
+    pub outbound: usize,
 }
 
 /// Descriptors for all else: listeners, discovery, probes, standard streams.
@@ -153,15 +153,13 @@
 const SOCKETS_LEAST: usize = 128;
 
 impl Sockets {
-    /// A served connection has at most two branches out, each on a connection of its own.
-    ///
-    /// Clients may take up a third of the descriptors; beside them there is room for those who ask for nothing,
-    /// until they are told from the others.
+    /// A request that is served has a connection to a next hop, so both sides get as many; all parts together are no
+    /// more than there are. Prevents: out of descriptors, connections that the system has accepted for us are not taken,
+    /// and their requests lost.
     fn share_out(sockets: usize, memory_mb: u64) -> Sockets {
         let free = sockets - RESERVE;
         let fit = (memory_mb << 20) as usize / 2 / HELD_MOST;
-        let inbound = (free * 11 / 20).min(fit);
-        Sockets { inbound, spare: free / 20, idle: free / 5 }
+        Sockets { inbound: (free * 9 / 20).min(fit), spare: free / 20, outbound: free * 9 / 20 }
     }
 }
 
--- a/crates/net/src/hop/line.rs
+++ b/crates/net/src/hop/line.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tower_service::Service;
 
 /// Cuts a line. Prevents: hyper notices only at the next line of the answer that nobody wants it any more, and
@@ -73,6 +74,8 @@
 pub struct Line {
     stream: TcpStream,
     cutter: Cutter,
+    /// Its part of the descriptors.
+    _socket: OwnedSemaphorePermit,
 }
 
 impl Line {
@@ -163,6 +166,8 @@
 pub struct Connector {
     /// How long a connection may take to come up.
     pub patience: Duration,
+    /// A permit for each socket that may be open.
+    pub sockets: Arc<Semaphore>,
 }
 
 impl Service<Uri> for Connector {
@@ -175,13 +180,18 @@
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
-        let patience = self.patience;
+        let (patience, sockets) = (self.patience, self.sockets.clone());
         Box::pin(async move {
             let host = uri.host().unwrap_or_default().trim_matches(['[', ']']).to_owned();
-            let open = TcpStream::connect((host, uri.port_u16().unwrap_or(80)));
-            let stream = tokio::time::timeout(patience, open).await??;
+            let open = async {
+                // One that is just being closed for us gives its own back in a moment.
+                let socket = sockets.acquire_owned().await.map_err(io::Error::other)?;
+                let stream = TcpStream::connect((host, uri.port_u16().unwrap_or(80))).await?;
+                io::Result::Ok((socket, stream))
+            };
+            let (socket, stream) = tokio::time::timeout(patience, open).await??;
             stream.set_nodelay(true)?;
-            Ok(TokioIo::new(Line { stream, cutter: Cutter::default() }))
+            Ok(TokioIo::new(Line { stream, cutter: Cutter::default(), _socket: socket }))
         })
     }
 }
--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -23,6 +23,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
+use tokio::sync::Semaphore;
 use tokio::time::{Instant, timeout};
 use tracing::warn;
 
@@ -64,7 +65,7 @@
             probe: PROBE.max(connect + PROBE_ANSWER),
             // Prevents: a request is written to a connection that the other side has just dropped as idle.
             idle: or(conf.limits.conn_idle_us * 2 / 3, 5_000_000),
-            most_idle: (sockets.idle / 32).max(2),
+            most_idle: (sockets.outbound / 64).max(2),
         }
     }
 }
@@ -206,8 +207,13 @@
 }
 
 impl Hop {
-    /// A client for the next hop at this address.
+    /// A client for the next hop at this address, that nobody shares descriptors with.
     pub fn new(address: &str, keeping: Keeping) -> Hop {
+        Hop::sharing(address, keeping, &Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)))
+    }
+
+    /// One of several that have so many sockets together.
+    pub fn sharing(address: &str, keeping: Keeping, sockets: &Arc<Semaphore>) -> Hop {
         let client = |most_idle| {
             Client::builder(TokioExecutor::new())
                 // Prevents: a request that is sent again unseen is an attempt that nobody counted.
@@ -215,7 +221,7 @@
                 .pool_timer(TokioTimer::new())
                 .pool_idle_timeout(keeping.idle)
                 .pool_max_idle_per_host(most_idle)
-                .build(Connector { patience: keeping.connect })
+                .build(Connector { patience: keeping.connect, sockets: sockets.clone() })
         };
         Hop {
             client: client(keeping.most_idle),
--- a/crates/net/src/hop/tests.rs
+++ b/crates/net/src/hop/tests.rs
@@ -11,7 +11,7 @@
         )
     };
     let keeping = |grace| {
-        let sockets = Sockets { inbound: 1, spare: 1, idle: 320 };
+        let sockets = Sockets { inbound: 1, spare: 1, outbound: 640 };
         Keeping::new(&serde_json::from_str(&text(grace)).unwrap(), &sockets)
     };
     assert_eq!(keeping(500_000).connect, Duration::from_millis(250));
@@ -25,7 +25,7 @@
 #[test]
 fn a_probe_is_waited_for_longer_than_its_connection_may_take() {
     let text = r#"{"lanes":[],"limits":{"most-tries":1,"connect-timeout-us":1000000},"rules":{}}"#;
-    let sockets = Sockets { inbound: 1, spare: 1, idle: 320 };
+    let sockets = Sockets { inbound: 1, spare: 1, outbound: 640 };
     let keeping = Keeping::new(&serde_json::from_str(text).unwrap(), &sockets);
     assert!(keeping.probe > keeping.connect, "{keeping:?}");
 }
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -14,14 +14,14 @@
 };
 use pumiceway_decisions::api::{ClassId, Micros, Report, Status, WorkerId};
 use pumiceway_decisions::settings::Conf;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet};
 use tracing::{debug, error, info, warn};
 
@@ -68,8 +68,11 @@
     gate: Gate,
     keeping: Keeping,
     workers: Option<Workers>,
-    hops: HashMap<WorkerId, Hop>,
-    branches: HashMap<BranchId, (hop::Branch, AbortHandle)>,
+    /// Each with when it was last used.
+    hops: HashMap<WorkerId, (Hop, Micros)>,
+    branches: HashMap<BranchId, (WorkerId, hop::Branch, AbortHandle)>,
+    /// Sockets to next hops: a permit for each, and how many there are.
+    outbound: (Arc<Semaphore>, usize),
     waiting: HashMap<Ticket, Client>,
     ready: Arc<AtomicBool>,
     close: watch::Sender<bool>,
@@ -190,6 +193,7 @@
             workers,
             hops: HashMap::new(),
             branches: HashMap::new(),
+            outbound: (Arc::new(Semaphore::new(config.sockets.outbound)), config.sockets.outbound),
             waiting: HashMap::new(),
             ready: Arc::default(),
             close,
@@ -319,7 +323,7 @@
             }
             Effect::Cut { branch } => {
                 debug!(branch = branch.0, outcome = "cut", "branch over");
-                if let Some((line, task)) = self.branches.remove(&branch) {
+                if let Some((_, line, task)) = self.branches.remove(&branch) {
                     line.cut();
                     task.abort();
                 } else if let Some(workers) = &self.workers {
@@ -348,6 +352,10 @@
                         return self.gate.tell(Event::Probed { hop, probe, status, report });
                     }
                 };
+                if !self.make_room() {
+                    let (status, report) = (Status::Moot, None);
+                    return self.gate.tell(Event::Probed { hop, probe, status, report });
+                }
                 let (client, gate) = (self.hop(hop, &address), self.gate.clone());
                 tokio::spawn(async move {
                     let (status, report) = client.probe().await;
@@ -380,11 +388,21 @@
         left: Duration,
         fresh: bool,
     ) {
+        // Prevents: a next hop is blamed for a connection that there was no descriptor for.
+        if self.branches.len() >= self.outbound.1 || !self.make_room() {
+            warn!(
+                hop = address,
+                transaction = job.id,
+                most = self.outbound.1,
+                "no socket is left for a branch"
+            );
+            return self.gate.tell(Event::Ended { branch, ending: Ending::NotTried, report: None });
+        }
         let teller = BranchTeller { gate: self.gate.clone(), branch };
         match self.hop(hop, address).branch(job, left, fresh, teller) {
             Ok((line, drive)) => {
                 let task = tokio::spawn(drive).abort_handle();
-                self.branches.insert(branch, (line, task));
+                self.branches.insert(branch, (hop, line, task));
             }
             Err(e) => {
                 error!(hop = address, transaction = job.id, why = %e, "no branch can be made");
@@ -413,13 +431,34 @@
         self.gate.tell(Event::Ended { branch, ending: Ending::NotConnected, report: None });
     }
 
+    /// Sees to it that a socket is free, or is about to be: of next hops with no branch out, those that were not used for
+    /// longest lose their idle connections, a quarter of them at a time.
+    fn make_room(&mut self) -> bool {
+        if self.outbound.0.available_permits() > 0 {
+            return true;
+        }
+        let busy: HashSet<WorkerId> = self.branches.values().map(|(hop, ..)| *hop).collect();
+        let idle = self.hops.iter().filter(|(hop, _)| !busy.contains(hop));
+        let mut idle: Vec<(Micros, WorkerId)> = idle.map(|(&hop, &(_, used))| (used, hop)).collect();
+        idle.sort();
+        for (_, hop) in idle.iter().take(idle.len().div_ceil(4)) {
+            self.hops.remove(hop);
+        }
+        !idle.is_empty()
+    }
+
     /// The client of a next hop; a new one where its address has changed.
     fn hop(&mut self, hop: WorkerId, address: &str) -> Hop {
-        let keeping = self.keeping;
-        let client = self.hops.entry(hop).or_insert_with(|| Hop::new(address, keeping));
+        let (keeping, now) = (self.keeping, self.clock.now());
+        let new = || Hop::sharing(address, keeping, &self.outbound.0);
+        let (client, used) = self.hops.entry(hop).or_insert_with(|| (new(), now));
         if client.address() != address {
-            *client = Hop::new(address, keeping);
+            *client = new();
         }
+        *used = now;
         client.clone()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/net/src/shell/tests.rs
@@ -0,0 +1,1 @@
+mod sockets;
--- /dev/null
+++ b/crates/net/src/shell/tests/sockets.rs
@@ -0,0 +1,213 @@
+use super::super::*;
+use pumiceway_core::{NextHop, Transaction};
+use pumiceway_decisions::api::{KindId, WorkerState, ZoneId};
+use std::io::{Read, Write};
+use std::net::{TcpListener as Listener, TcpStream};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+/// One job at a time on each next hop.
+const SETTINGS: &str = r#"{"zones":["z"],"my-zone":"z","kinds":["k"],"resolution-us":1000,
+  "lanes":[{"name":"push","aim-us":500000,"deadline-us":5000000,"points":2.0,"semantics":"read_like"},
+    {"name":"import","aim-us":1500000,"deadline-us":6000000,"points":3.0,"semantics":"non_idempotent"}],
+  "limits":{"most-tries":3,"cancel":true,"retry-after":true,"max-retry-after-us":2000000},"rules":{}}"#;
+
+/// A shell with so many sockets to these next hops, and what it hears.
+fn shell(outbound: usize, hops: &[&Listener]) -> (Shell, UnboundedReceiver<Heard>) {
+    let conf: Arc<Conf> = Arc::new(serde_json::from_str(SETTINGS).unwrap());
+    let sockets = crate::config::Sockets { inbound: 8, spare: 2, outbound };
+    let (gate, heard) = Gate::new();
+    let mut shell = Shell {
+        clock: Clock::start(),
+        core: Core::new(conf.settings().unwrap(), 7, Retention::default()).unwrap(),
+        gate,
+        keeping: Keeping::new(&conf, &sockets),
+        workers: None,
+        hops: HashMap::new(),
+        branches: HashMap::new(),
+        outbound: (Arc::new(Semaphore::new(outbound)), outbound),
+        waiting: HashMap::new(),
+        ready: Arc::default(),
+        close: watch::channel(false).0,
+        alarm: None,
+        exit: false,
+        conf,
+        watch: None,
+        next_watch: None,
+    };
+    let line = |(n, listener): (usize, &&Listener)| NextHop {
+        name: format!("w{n}"),
+        reach: Reach::Address(listener.local_addr().unwrap().to_string()),
+        zone: ZoneId(0),
+        kind: KindId(0),
+        cell: None,
+        state: WorkerState::Ready,
+        ready_at: 0,
+        size: 0.0,
+        warm: true,
+        jobs: Some(1),
+    };
+    let lines = hops.iter().enumerate().map(line).collect();
+    shell.feed(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(lines) });
+    (shell, heard)
+}
+
+fn listeners<const N: usize>() -> [Listener; N] {
+    [(); N].map(|()| Listener::bind("127.0.0.1:0").unwrap())
+}
+
+fn handed_in(n: u64) -> (Heard, oneshot::Receiver<Answer>) {
+    let (answer, answered) = oneshot::channel();
+    let job =
+        Job { id: format!("t{n}"), path: "/push/k".into(), repeat_key: None, body: bytes::Bytes::new() };
+    let (class, left, slots, memory) = (ClassId(0), 5_000_000, 1.0, 0.0);
+    let transaction =
+        Transaction { class, left, slots, memory, tenant: None, job: Arc::new(job), identity: None };
+    (Heard::Waiting { ticket: Ticket(n), transaction, answer, news: None }, answered)
+}
+
+/// Plays the loop until the next thing is heard, and takes that in.
+async fn go_on(shell: &mut Shell, heard: &mut UnboundedReceiver<Heard>) {
+    let next = tokio::time::timeout(Duration::from_secs(5), heard.recv()).await;
+    shell.take(&mut vec![next.expect("nothing is heard").unwrap()]);
+}
+
+fn accepted(listener: &Listener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let end = Instant::now() + Duration::from_secs(5);
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).unwrap();
+                return stream;
+            }
+            Err(e) => assert!(Instant::now() < end, "nobody came: {e}"),
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// What a next hop gets on a connection of its own, read off the loop.
+async fn asked(listener: &Listener) -> (TcpStream, String) {
+    let listener = listener.try_clone().unwrap();
+    let read = tokio::task::spawn_blocking(move || {
+        let mut stream = accepted(&listener);
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        let mut part = [0; 4096];
+        let n = stream.read(&mut part).unwrap();
+        (stream, String::from_utf8_lossy(&part[..n]).into_owned())
+    });
+    read.await.unwrap()
+}
+
+fn done(mut stream: &TcpStream, id: &str) {
+    let line = format!("{{\"id\":\"{id}\",\"from\":\"w\",\"state\":\"done\",\"result\":\"{id}\"}}\n");
+    let length = line.len();
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.write_all(format!("{head}{length:x}\r\n{line}\r\n0\r\n\r\n").as_bytes()).unwrap();
+}
+
+fn block_on(play: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(play);
+}
+
+// Guards against more sockets than there are: idle ones to all next hops added up past the limit, and connections that
+// the system had accepted for us could not be taken.
+#[test]
+fn an_idle_connection_makes_room_for_a_branch_that_needs_a_socket() {
+    let hops = listeners::<3>();
+    let (mut shell, mut heard) = shell(2, &hops.each_ref());
+    block_on(async {
+        let mut answers = Vec::new();
+        // Two next hops at once, so that each has a connection; then both are idle.
+        for n in 0..2 {
+            let (waiting, answered) = handed_in(n);
+            shell.take(&mut vec![waiting]);
+            answers.push(answered);
+        }
+        let mut streams = Vec::new();
+        for (n, hop) in hops[..2].iter().enumerate() {
+            let (stream, text) = asked(hop).await;
+            assert!(text.contains(&format!("x-txn: t{n}")), "{text}");
+            streams.push(stream);
+        }
+        assert_eq!(shell.outbound.0.available_permits(), 0);
+        done(&streams[0], "t0");
+        done(&streams[1], "t1");
+        for answered in &mut answers {
+            while answered.is_empty() {
+                go_on(&mut shell, &mut heard).await;
+            }
+            assert!(matches!(answered.try_recv(), Ok(Answer::Served(_))));
+        }
+        // A third is reached: one of the idle ones goes, and is closed.
+        let address = hops[2].local_addr().unwrap().to_string();
+        let job =
+            Job { id: "t9".into(), path: "/push/k".into(), repeat_key: None, body: bytes::Bytes::new() };
+        shell.start(BranchId(9), WorkerId(2), &address, &job, Duration::from_secs(5), false);
+        let (_stream, text) = asked(&hops[2]).await;
+        assert!(text.contains("x-txn: t9"), "{text}");
+        let gone = tokio::task::spawn_blocking(move || streams[0].read(&mut [0])).await.unwrap();
+        assert!(matches!(gone, Ok(0)), "{gone:?}");
+        assert!(shell.hops.len() == 2 && shell.outbound.0.available_permits() == 0);
+    });
+}
+
+// Guards against a next hop that counts as failed because we had no socket left to reach it with, and against a job that
+// waits for one until its client has gone.
+#[test]
+fn with_every_socket_in_use_a_job_is_answered_busy_and_no_next_hop_is_blamed() {
+    let hops = listeners::<2>();
+    let (mut shell, mut heard) = shell(1, &hops.each_ref());
+    block_on(async {
+        let [(first, _first_answer), (second, mut answered)] = [0, 1].map(handed_in);
+        shell.take(&mut vec![first]);
+        let (stream, _) = asked(&hops[0]).await;
+        shell.take(&mut vec![second]);
+        while answered.is_empty() {
+            go_on(&mut shell, &mut heard).await;
+        }
+        assert!(matches!(answered.try_recv(), Ok(Answer::Busy { retry_after: Some(_) })));
+        // Once the socket is free the second next hop is sent jobs like any other.
+        done(&stream, "t0");
+        while !shell.branches.is_empty() {
+            go_on(&mut shell, &mut heard).await;
+        }
+        drop(stream);
+        let address = hops[1].local_addr().unwrap().to_string();
+        let job =
+            Job { id: "t9".into(), path: "/push/k".into(), repeat_key: None, body: bytes::Bytes::new() };
+        shell.start(BranchId(9), WorkerId(1), &address, &job, Duration::from_secs(5), false);
+        assert!(asked(&hops[1]).await.1.contains("x-txn: t9"));
+    });
+}
+
+// Guards against a job that is sent on for a client whose leaving is known, and stands in the queue behind other news.
+#[test]
+fn a_client_that_has_left_is_not_sent_on_by_what_stands_before_its_leaving() {
+    let hops = listeners::<1>();
+    let (mut shell, mut heard) = shell(8, &hops.each_ref());
+    block_on(async {
+        let mut answers = Vec::new();
+        for n in 0..40 {
+            let (waiting, answered) = handed_in(n);
+            shell.take(&mut vec![waiting]);
+            answers.push(answered);
+        }
+        let (stream, _) = asked(&hops[0]).await;
+        done(&stream, "t0");
+        // The end of the first is heard, and makes room for the next; behind it stand the leavings of all others.
+        let mut batch = vec![heard.recv().await.unwrap()];
+        assert!(matches!(batch[0], Heard::Event(Event::Ended { .. })), "{batch:?}");
+        batch.extend((1..40).map(|n| Heard::Event(Event::Left { ticket: Ticket(n) })));
+        // One has left before it was heard at all.
+        let (unheard, answered) = handed_in(99);
+        drop(answered);
+        batch.extend([unheard, Heard::Event(Event::Left { ticket: Ticket(99) })]);
+        shell.take(&mut batch);
+        assert!(shell.branches.is_empty() && shell.waiting.is_empty());
+        assert_eq!(shell.core.overview().classes, [(0, 0), (0, 0)]);
+        // What is due finds nothing to send either.
+        shell.feed(Event::Due);
+        assert!(shell.branches.is_empty());
+    });
+}
--- a/crates/net/tests/endings.rs
+++ b/crates/net/tests/endings.rs
@@ -51,7 +51,7 @@
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             runtime.block_on(async {
                 let listener = TcpListener::from_std(listener).unwrap();
-                front.serve(listener, Sockets { inbound, spare, idle: 1 }, closing).await;
+                front.serve(listener, Sockets { inbound, spare, outbound: 1 }, closing).await;
             });
         });
         Door { address, heard, close, thread: Some(thread) }
--- a/crates/net/tests/repeats.rs
+++ b/crates/net/tests/repeats.rs
@@ -45,7 +45,7 @@
 // Guards against a bound that those who open connections and those who decide work out each for themselves.
 #[test]
 fn decisions_and_connections_go_by_one_bound() {
-    let sockets = Sockets { inbound: 8, spare: 2, idle: 64 };
+    let sockets = Sockets { inbound: 8, spare: 2, outbound: 64 };
     for (timeout, grace, bound) in [
         (250_000, 0, 250_000),
         (0, 0, 1_000_000),
