Tests: connections that come up late, attempts cut before they are written, probes without end

Reviewed in hop/mod.rs, hop/line.rs and hyper-util's legacy client: an attempt that waits for its connection drops the connect with it, unless another attempt's connection was kept in between, in which case the connect goes on and the connection is kept, silent, for the next one.

--- a/crates/net/src/hop/tests.rs
+++ b/crates/net/src/hop/tests.rs
@@ -649,3 +649,232 @@
         assert!(server.join().unwrap() < BUFFERED, "{first}");
     }
 }
+
+/// Polls once, as the runtime would, and lets nothing else go on.
+async fn poll_once<F: Future>(future: &mut std::pin::Pin<&mut F>) -> bool {
+    let mut over = false;
+    std::future::poll_fn(|cx| {
+        over = future.as_mut().poll(cx).is_ready();
+        std::task::Poll::Ready(())
+    })
+    .await;
+    over
+}
+
+/// The bytes that came up to the end.
+fn rest(mut stream: std::net::TcpStream) -> String {
+    use std::io::Read;
+    let mut rest = Vec::new();
+    // A reset is an end as well.
+    if let Err(e) = stream.read_to_end(&mut rest) {
+        assert_eq!(e.kind(), std::io::ErrorKind::ConnectionReset);
+    }
+    String::from_utf8_lossy(&rest).into_owned()
+}
+
+// Guards against a request that is written after its attempt was cut: handed to its connection, kept or just up, but
+// not written yet. Whether or not the attempt's task is ended with it.
+#[test]
+fn an_attempt_that_was_cut_before_it_was_written_never_is() {
+    for (kept, dropped) in [(false, true), (false, false), (true, true), (true, false)] {
+        let (worker, mut seen) = worker();
+        let server = std::thread::spawn(move || {
+            use std::io::Write;
+            let mut stream = worker.accept();
+            if kept {
+                read_request(&mut stream);
+                stream.write_all(done("a").as_bytes()).unwrap();
+            }
+            worker.at("there");
+            rest(stream)
+        });
+        play(async {
+            let hop = hop(&seen.address);
+            if kept {
+                assert_eq!(Out::start(&hop, &job("a", 9), false).end().await, served("a"));
+                seen.told("there").await;
+                settle().await;
+            }
+            let heard = Heard::default();
+            let (branch, drive) = hop.branch(&job("b", 9), SOON, false, heard.clone()).unwrap();
+            let mut drive = Box::pin(drive);
+            assert!(!poll_once(&mut drive.as_mut()).await);
+            if !kept {
+                // It is up, and the runtime has not seen it.
+                seen.told_while_deaf("there");
+            }
+            branch.cut();
+            match dropped {
+                true => drop(drive),
+                // With nobody to end its task it ends by itself, and says nothing.
+                false => timeout(SOON, drive).await.expect("no end"),
+            }
+            settle().await;
+            seen.go();
+            assert_eq!(heard.ends(), []);
+        });
+        assert_eq!(server.join().unwrap(), "", "{kept} {dropped}");
+    }
+}
+
+/// A next hop whose connections don't come up, and its one connection that keeps others from that. The system tries
+/// again a second later.
+fn full() -> (std::net::TcpListener, std::net::TcpStream) {
+    use socket2::{Domain, Socket, Type};
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&std::net::SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = std::net::TcpListener::from(socket);
+    let filler = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (listener, filler)
+}
+
+// Guards against a connection that comes up too late: its attempt was cut, or its time was over. Nothing comes up for
+// it any more, and nothing is written.
+#[test]
+fn a_connection_that_comes_up_too_late_carries_nothing() {
+    for patience in [SOON, Duration::from_millis(100)] {
+        let (listener, filler) = full();
+        let address = listener.local_addr().unwrap().to_string();
+        play(async {
+            let hop =
+                Hop::new(&address, Keeping { connect: patience, idle: SOON, probe: SOON, most_idle: 2 });
+            let out = Out::start(&hop, &job("a", 9), false);
+            settle().await;
+            if patience == SOON {
+                assert!(!out.task.is_finished());
+                // As the shell does it.
+                out.branch.cut();
+                out.task.abort();
+                assert!(out.task.await.unwrap_err().is_cancelled());
+                assert!(out.ends.try_recv().is_err());
+            } else {
+                assert_eq!(out.end().await, (Ending::NotConnected, None));
+            }
+            // Room for the next try of the system.
+            drop(listener.accept().unwrap());
+            drop(filler);
+            let listener = tokio::net::TcpListener::from_std({
+                listener.set_nonblocking(true).unwrap();
+                listener
+            })
+            .unwrap();
+            let late = timeout(Duration::from_millis(1_300), listener.accept()).await;
+            assert!(late.is_err(), "it came up: {late:?}");
+        });
+    }
+}
+
+// Guards against a connection that is opened for an attempt which another one has served by then: it is kept, nothing
+// is written on it meanwhile, and the next one in need of it has it.
+#[test]
+fn a_connection_that_comes_up_for_nobody_is_kept_and_silent() {
+    use std::io::{Read, Write};
+    let (listener, filler) = full();
+    let address = listener.local_addr().unwrap().to_string();
+    // The one that keeps others away has been given up: the first accepted is the first attempt's.
+    let (tell, mut told) = tokio::sync::mpsc::unbounded_channel();
+    let (go, wait) = std::sync::mpsc::channel::<()>();
+    let server = std::thread::spawn(move || {
+        drop((listener.accept().unwrap(), filler));
+        let mut first = listener.accept().unwrap().0;
+        // Full again, for the second.
+        let filler = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        read_request(&mut first);
+        tell.send(()).unwrap();
+        wait.recv().unwrap();
+        first.write_all(done("a").as_bytes()).unwrap();
+        read_request(&mut first);
+        first.write_all(done("b").as_bytes()).unwrap();
+        drop((listener.accept().unwrap(), filler));
+        let mut late = listener.accept().unwrap().0;
+        tell.send(()).unwrap();
+        wait.recv().unwrap();
+        late.set_nonblocking(true).unwrap();
+        assert_eq!(late.read(&mut [0]).unwrap_err().kind(), std::io::ErrorKind::WouldBlock);
+        late.set_nonblocking(false).unwrap();
+        tell.send(()).unwrap();
+        for stream in [&mut first, &mut late] {
+            stream.set_read_timeout(Some(SOON)).unwrap();
+        }
+        let ids = [read_request(&mut first), read_request(&mut late)];
+        for (stream, head) in [&mut first, &mut late].into_iter().zip(ids) {
+            stream.write_all(done(if head.contains("x-txn: c") { "c" } else { "d" }).as_bytes()).unwrap();
+        }
+    });
+    play(async {
+        let hop = hop(&address);
+        let a = Out::start(&hop, &job("a", 9), false);
+        told.recv().await.unwrap();
+        let b = Out::start(&hop, &job("b", 9), false);
+        settle().await;
+        go.send(()).unwrap();
+        assert_eq!((a.end().await, b.end().await), (served("a"), served("b")));
+        told.recv().await.unwrap();
+        settle().await;
+        go.send(()).unwrap();
+        told.recv().await.unwrap();
+        let (c, d) = (Out::start(&hop, &job("c", 9), false), Out::start(&hop, &job("d", 9), false));
+        assert_eq!((c.end().await, d.end().await), (served("c"), served("d")));
+    });
+    server.join().unwrap();
+}
+
+// Guards against a probe that is waited for without end, holds what comes in memory, or leaves its connection to be
+// used again with its answer still to come.
+#[test]
+fn a_probe_without_end_is_over_in_time_and_its_connection_closed() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let silent = ["".to_owned(), head.into(), format!("{head}{}", chunk("{\"x0\":2}"))];
+    let endless = [
+        format!("{head}{}", chunk("x0=2,")),
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\nx".into(),
+    ];
+    for (text, floods) in silent.iter().map(|t| (t, false)).chain(endless.iter().map(|t| (t, true))) {
+        for given_up in [false, true] {
+            let (worker, mut seen) = worker();
+            let begin = text.clone();
+            let server = std::thread::spawn(move || {
+                use std::io::Write;
+                let mut stream = worker.accept();
+                read_request(&mut stream);
+                stream.write_all(begin.as_bytes()).unwrap();
+                worker.at("said it");
+                let out = match floods {
+                    true => {
+                        flood(&mut stream, "", if begin.contains("chunked") { "1\r\nx\r\n" } else { "x" })
+                    }
+                    false => rest(stream).len(),
+                };
+                let mut stream = worker.accept();
+                read_request(&mut stream);
+                stream.write_all(answer("200 OK", "x0=2").as_bytes()).unwrap();
+                out
+            });
+            play(async {
+                // One that floods is cut off by its size, one that is given up by its end.
+                let limit = if floods || given_up { SOON } else { PROBE };
+                let keeping = Keeping { connect: SOON, idle: SOON, probe: limit, most_idle: 2 };
+                let hop = Hop::new(&seen.address, keeping);
+                let mut probe = Box::pin(hop.probe());
+                if given_up {
+                    while seen.told.try_recv().is_err() {
+                        assert!(!poll_once(&mut probe.as_mut()).await);
+                        settle().await;
+                    }
+                    seen.go();
+                    drop(probe);
+                } else {
+                    seen.go();
+                    let status = if floods { Status::Ok } else { Status::Timeout };
+                    assert_eq!(timeout(SOON, probe).await.expect("no end"), (status, None), "{text}");
+                }
+                settle().await;
+                let (status, report) =
+                    Hop::new(&seen.address, Keeping { probe: SOON, ..keeping }).probe().await;
+                assert_eq!((status, report.unwrap().free_slots), (Status::Ok, Some(2.0)), "{text}");
+            });
+            assert!(server.join().unwrap() < BUFFERED, "{text}");
+        }
+    }
+}
