Discovery: a call that hangs hides no agent that is back, and counts as failed

By reading (discovery/mod.rs): - An agent that was silent for a while takes calls and may never answer them. Each was waited for up to 1 s, and the next came up to 0.2 s after: what the agent has at its return counts as told at once, and we asked 1.2 s later. Now a call is made every 0.4 s beside those that are out, the first answer is heard; without a fresh call 0.4 s at most. A shorter patience was ruled out: an agent that is slow, or a loop that is busy, would never be heard. - connect and call had a patience of 2.5 s each; both have one together. - pace.next took the time since the round began for the time that a watch stood. A call given up after its patience of 2.5 s (STOOD) counted as served: nobody backed off from a discovery that hangs. Now only the time counts since the watch was answered. - The channels to the shell had no bound. They hold one piece of news; a watch that has more to tell waits, and reads no further.

The wait after a silence stays. SILENCE 2.5 s + LEAST 0.05 s + 3 s at most = 5.55 s of 6 s for any fleet.

Tests: without the mend an_agent_that_left_a_call_unanswered_is_called_beside_it prints `the first call was over before the second came`, callers_of_a_discovery_that_hangs_back_off 1.04 s for 1.95 s, a_discovery_that_tells_without_end_is_read_as_fast_as_it_is_heard `all of 76 MB was taken in`. Planted: a SILENCE of 20 s prints `nobody calls again`, no bound of TOLD / 2 fails the pace's test at 100.

--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -20,13 +20,16 @@
 use stream::Pieces;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout_at};
 use tracing::{info, warn};
 
 /// A call is answered within this time or has failed.
 const CALL: Duration = Duration::from_millis(2_500);
-/// An agent on this machine answers at once or, while it has nothing to tell, not at all: it is soon asked anew.
+/// An agent on this machine answers at once or, while it has nothing to tell, not at all: it is soon asked anew,
+/// beside the calls that are out.
 const AGENT_CALL: Duration = Duration::from_secs(1);
+const AGENT_AGAIN: Duration = Duration::from_millis(400);
 /// Discovery sends a line every 2 s. One that is missing for this long tells that the watch is lost.
 const SILENCE: Duration = Duration::from_millis(2_500);
 /// A value that a watch tells may be this long, and a whole list.
@@ -132,7 +135,9 @@
     /// A new configuration has moved the service here.
     pub moved: bool,
     /// Who is told.
-    pub tell: mpsc::UnboundedSender<(Source, RouteNews)>,
+    pub tell: mpsc::Sender<(Source, RouteNews)>,
+    /// When the watch that stands was answered.
+    opened: Option<Instant>,
 }
 
 enum Broken {
@@ -145,6 +150,17 @@
 }
 
 impl Watcher {
+    /// One of the service at this address; see the fields.
+    pub fn new(
+        address: String,
+        conf: Arc<Conf>,
+        index: Option<u64>,
+        moved: bool,
+        tell: mpsc::Sender<(Source, RouteNews)>,
+    ) -> Watcher {
+        Watcher { address, conf, index, moved, tell, opened: None }
+    }
+
     /// Lists and watches, again and again.
     pub async fn run(mut self) {
         // Prevents: a watch from nowhere begins with what changes next, and a second call has to ask for the list.
@@ -156,6 +172,7 @@
         loop {
             let before = self.index;
             let called = Instant::now();
+            self.opened = None;
             let broken = match self.round(list_first).await {
                 Ok(()) => Broken::Ended("the watch ended".into()),
                 Err(broken) => broken,
@@ -168,28 +185,28 @@
                     warn!(discovery = self.address, why, ms, "the watch broke")
                 }
             }
-            if self.tell.send((Source::Discovery, RouteNews::Lost)).is_err() {
+            if self.tell.send((Source::Discovery, RouteNews::Lost)).await.is_err() {
                 return;
             }
-            sleep(pace.next(called.elapsed(), self.index > before, fastrand::f64())).await;
+            // Prevents: a call that hung counts as a watch that stood, and who hangs is called without backing off.
+            let stood = self.opened.map(|at| at.elapsed()).unwrap_or_default();
+            sleep(pace.next(stood, self.index > before, fastrand::f64())).await;
         }
     }
 
     async fn round(&mut self, list_first: bool) -> Result<(), Broken> {
-        let mut sender = self.connect().await?;
         if list_first {
-            let mut body = self.call(&mut sender, "/api/targets").await?;
+            let (_sender, mut body) = self.call("/api/targets").await?;
             let (mut text, end) = (Vec::new(), Instant::now() + self.patience());
             while let Some(frame) = next(&mut body, end).await? {
                 text.extend_from_slice(&frame);
                 check_length(&text)?;
             }
-            self.heard(&text, true)?;
-            // The list may have left the connection unusable.
-            sender = self.connect().await?;
+            self.heard(&text, true).await?;
         }
         let path = format!("/api/targets?stream=1&index={}", self.index.unwrap_or_default());
-        let mut body = self.call(&mut sender, &path).await?;
+        let (_sender, mut body) = self.call(&path).await?;
+        self.opened = Some(Instant::now());
         // Prevents: a value that trickles in keeps the watch for ever. It is whole within the time of a silence.
         let (mut pieces, mut begun) = (Pieces::default(), Instant::now());
         while let Some(frame) = next(&mut body, begun + SILENCE).await? {
@@ -199,7 +216,7 @@
             let mut frame = &frame[..];
             while let Some(piece) = pieces.next(&mut frame) {
                 check_length(&piece)?;
-                self.heard(&piece, false)?;
+                self.heard(&piece, false).await?;
                 begun = Instant::now();
             }
             check_length(pieces.held())?;
@@ -208,7 +225,7 @@
     }
 
     /// Takes in a value, or the answer to a call that asked for the whole list.
-    fn heard(&mut self, line: &[u8], asked: bool) -> Result<(), Broken> {
+    async fn heard(&mut self, line: &[u8], asked: bool) -> Result<(), Broken> {
         if line.trim_ascii().is_empty() {
             return Ok(());
         }
@@ -228,7 +245,7 @@
         self.index = Some(listing.index);
         let hops = listing.hops(&self.conf);
         let news = if whole { RouteNews::Whole(hops) } else { RouteNews::Changes(hops) };
-        self.tell.send((Source::Discovery, news)).map_err(|_| Broken::Unheard)
+        self.tell.send((Source::Discovery, news)).await.map_err(|_| Broken::Unheard)
     }
 
     /// How long a call is waited for.
@@ -239,29 +256,46 @@
         }
     }
 
-    async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, Broken> {
-        let ended = |e: &dyn std::fmt::Display| Broken::Ended(format!("cannot connect: {e}"));
-        let stream = timeout(self.patience(), TcpStream::connect(&self.address)).await;
-        let stream = stream.map_err(|e| ended(&e))?.map_err(|e| ended(&e))?;
-        let _ = stream.set_nodelay(true);
-        let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = shaken.map_err(|e| ended(&e))?;
-        // Ends when the sender and the body are dropped.
-        tokio::spawn(connection);
-        Ok(sender)
+    /// Calls on a connection of its own, and waits for the head of the answer.
+    ///
+    /// Prevents: a call that an agent took while it was silent, and never answers, hides that the agent is back.
+    async fn call(&self, path: &str) -> Result<Answer, Broken> {
+        let again = match self.conf.discovery {
+            Discovery::Subscribe => self.patience(),
+            Discovery::Automatic => AGENT_AGAIN,
+        };
+        let (end, mut calls) = (Instant::now() + self.patience(), JoinSet::new());
+        loop {
+            calls.spawn(call(self.address.clone(), path.to_owned()));
+            let next = end.min(Instant::now() + again);
+            match timeout_at(next, calls.join_next()).await {
+                Ok(Some(Ok(answer))) => return answer,
+                Ok(_) => return Err(Broken::Ended("the call was dropped".into())),
+                Err(_) if next == end => return Err(Broken::Ended("no answer in time".into())),
+                Err(_) => {}
+            }
+        }
     }
+}
 
-    async fn call(&self, sender: &mut SendRequest<Empty<Bytes>>, path: &str) -> Result<Incoming, Broken> {
-        let request = Request::get(path)
-            .header("Host", &self.address)
-            .body(Empty::new())
-            .map_err(|e| Broken::Ended(format!("cannot ask: {e}")))?;
-        match timeout(self.patience(), sender.send_request(request)).await {
-            Ok(Ok(answer)) if answer.status().is_success() => Ok(answer.into_body()),
-            Ok(Ok(answer)) => Err(Broken::Ended(format!("answered {}", answer.status()))),
-            Ok(Err(e)) => Err(Broken::Ended(format!("call failed: {e}"))),
-            Err(_) => Err(Broken::Ended("no answer in time".into())),
-        }
+/// Ends when both are dropped.
+type Answer = (SendRequest<Empty<Bytes>>, Incoming);
+
+async fn call(address: String, path: String) -> Result<Answer, Broken> {
+    let ended = |e: &dyn std::fmt::Display| Broken::Ended(format!("cannot connect: {e}"));
+    let stream = TcpStream::connect(&address).await.map_err(|e| ended(&e))?;
+    let _ = stream.set_nodelay(true);
+    let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = shaken.map_err(|e| ended(&e))?;
+    tokio::spawn(connection);
+    let request = Request::get(path)
+        .header("Host", &address)
+        .body(Empty::new())
+        .map_err(|e| Broken::Ended(format!("cannot ask: {e}")))?;
+    match sender.send_request(request).await {
+        Ok(answer) if answer.status().is_success() => Ok((sender, answer.into_body())),
+        Ok(answer) => Err(Broken::Ended(format!("answered {}", answer.status()))),
+        Err(e) => Err(Broken::Ended(format!("call failed: {e}"))),
     }
 }
 
--- a/crates/net/src/discovery/pace.rs
+++ b/crates/net/src/discovery/pace.rs
@@ -20,7 +20,7 @@
 /// Each failure in a row doubles the time that is drawn from, up to this many times its beginning.
 const DOUBLINGS: u32 = 3;
 /// An agent is called again within this many times the least wait, however often it has failed.
-const AGENT_MOST: u32 = 4;
+const AGENT_MOST: u32 = 2;
 /// A watch that has stood for so long counts as served, whether anything changed or not.
 const STOOD: Duration = Duration::from_millis(2_500);
 
@@ -73,9 +73,10 @@
         self.spread.min(TOLD_MOVED / 4).mul_f64(draw)
     }
 
-    /// The wait before the next call, when one has ended after `lasted`; `served` when it brought news.
-    pub fn next(&mut self, lasted: Duration, served: bool, draw: f64) -> Duration {
-        self.failures = if served || lasted > STOOD { 0 } else { (self.failures + 1).min(DOUBLINGS) };
+    /// The wait before the next call, when one has ended whose watch `stood` for so long, not at all if it was never
+    /// answered; `served` when it brought news.
+    pub fn next(&mut self, stood: Duration, served: bool, draw: f64) -> Duration {
+        self.failures = if served || stood > STOOD { 0 } else { (self.failures + 1).min(DOUBLINGS) };
         if self.agent {
             // Prevents: an agent that is not up yet is called without pause.
             return LEAST * (1 << self.failures.saturating_sub(1)).min(AGENT_MOST);
--- a/crates/net/src/discovery/pace/tests.rs
+++ b/crates/net/src/discovery/pace/tests.rs
@@ -49,13 +49,16 @@
 // turn from 15 s where there are 300: it went on sending there. After a failed call that comes four times later.
 #[test]
 fn whatever_the_size_of_the_fleet_a_call_is_over_before_its_news_counts_as_told() {
-    let call = super::super::CALL;
+    let (call, silence) = (super::super::CALL, super::super::SILENCE);
     for instances in [0, 1, 3, 60, 100, 300, 10_000, usize::MAX] {
         for ask_within in [Duration::ZERO, Duration::from_secs(10), Duration::from_secs(30)] {
             let mut pace = Pace::new(instances, ask_within);
             assert!(ask_within.is_zero() || pace.first(1.0) + call <= ask_within, "{instances}");
             assert!(pace.first_moved(1.0) + call <= TOLD_MOVED, "{instances}");
             assert!(pace.next(STOOD * 2, true, 1.0) + call <= TOLD, "{instances}");
+            // What a silent watch misses counts as told so long after its last word. Where many are silent at once the
+            // call waits for its turn: less time to draw from makes more calls wait in vain, and come again later.
+            assert!(silence + pace.next(STOOD * 2, false, 1.0) <= TOLD, "{instances}");
             let failed = (0..9).map(|_| pace.next(Duration::ZERO, false, 1.0)).max().unwrap_or_default();
             assert!(ask_within.is_zero() || failed + call <= ask_within * 4, "{instances}");
         }
--- a/crates/net/src/discovery/zookeeper.rs
+++ b/crates/net/src/discovery/zookeeper.rs
@@ -28,7 +28,7 @@
     /// What their words mean.
     pub conf: Arc<Conf>,
     /// Who is told.
-    pub tell: mpsc::UnboundedSender<(Source, RouteNews)>,
+    pub tell: mpsc::Sender<(Source, RouteNews)>,
 }
 
 enum Broken {
@@ -51,15 +51,15 @@
                 Err(Broken::Unheard) => return,
                 Err(Broken::Failed(why)) => warn!(why, "the session with the ensemble broke"),
             }
-            if self.say(RouteNews::Lost).is_err() {
+            if self.say(RouteNews::Lost).await.is_err() {
                 return;
             }
             sleep(PAUSE.mul_f64(0.5 + fastrand::f64())).await;
         }
     }
 
-    fn say(&self, news: RouteNews) -> Result<(), Broken> {
-        self.tell.send((Source::ZooKeeper, news)).map_err(|_| Broken::Unheard)
+    async fn say(&self, news: RouteNews) -> Result<(), Broken> {
+        self.tell.send((Source::ZooKeeper, news)).await.map_err(|_| Broken::Unheard)
     }
 
     async fn session(&self) -> Result<(), Broken> {
@@ -72,7 +72,7 @@
         let mut watch: PersistentWatcher = watch.await?;
         loop {
             let listing = self.list(&client).await?;
-            self.say(RouteNews::Whole(listing.hops(&self.conf)))?;
+            self.say(RouteNews::Whole(listing.hops(&self.conf))).await?;
             loop {
                 let event = watch.changed().await;
                 match (event.event_type, event.session_state) {
@@ -81,7 +81,7 @@
                     (EventType::Session, state) if state.is_terminated() => {
                         return Err(Broken::Failed(format!("session {state:?}")));
                     }
-                    (EventType::Session, _) => self.say(RouteNews::Lost)?,
+                    (EventType::Session, _) => self.say(RouteNews::Lost).await?,
                     _ => break,
                 }
             }
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -49,6 +49,10 @@
     }
 }
 
+/// News of the route set that may wait here; whoever has more to tell waits, and reads no further. Prevents: a
+/// service that tells without end fills the memory.
+const TOLD: usize = 1;
+
 /// A client that waits.
 struct Client {
     answer: oneshot::Sender<Answer>,
@@ -80,15 +84,15 @@
 
 /// A watch of a discovery service; ends when dropped.
 struct Watch {
-    told: mpsc::UnboundedReceiver<(Source, RouteNews)>,
+    told: mpsc::Receiver<(Source, RouteNews)>,
     _task: JoinSet<()>,
 }
 
 impl Watch {
     fn start(address: String, conf: Arc<Conf>, index: Option<u64>, moved: bool) -> Watch {
-        let (tell, told) = mpsc::unbounded_channel();
+        let (tell, told) = mpsc::channel(TOLD);
         let mut task = JoinSet::new();
-        task.spawn(Watcher { address, conf, index, moved, tell }.run());
+        task.spawn(Watcher::new(address, conf, index, moved, tell).run());
         Watch { told, _task: task }
     }
 
@@ -204,7 +208,7 @@
             shell.feed(routes(RouteNews::Changes(vec![])));
         }
         shell.feed(Event::Configured { discovery: config.discovery, index, needs_restart: vec![] });
-        let (tell, mut told) = mpsc::unbounded_channel();
+        let (tell, mut told) = mpsc::channel(TOLD);
         if let Some(zookeeper) = config.zookeeper {
             tokio::spawn(Nodes { config: zookeeper, conf: config.conf.clone(), tell }.run());
         }
--- a/crates/net/tests/watches.rs
+++ b/crates/net/tests/watches.rs
@@ -1,8 +1,14 @@
 //! Every way in which a watch of discovery, or a call to it, goes on or ends.
 
-use pumiceway_rig::{Peer, Stage};
-use std::net::TcpListener;
+use pumiceway_core::{RouteNews, Source};
+use pumiceway_decisions::settings::Conf;
+use pumiceway_net::discovery::Watcher;
+use pumiceway_rig::{Peer, SETTINGS, Stage};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
 
 const WATCHED: &str = "discovery wait d
      d expect GET /api/targets?stream=1&index=1
@@ -59,16 +65,34 @@
     stage.go_on("d close\n discovery wait e\n e expect GET /api/targets?stream=1&index=5");
 }
 
-/// The next call at a discovery of our own, and what it asks for; none within this time.
-fn called(listener: &TcpListener, within: Duration) -> Option<(Peer, String)> {
+/// A call at a discovery of our own.
+struct Call {
+    peer: Peer,
+    stream: TcpStream,
+    asked: String,
+}
+
+impl Call {
+    /// Whether the other side keeps its connection.
+    fn open(&mut self) -> bool {
+        self.stream.set_nonblocking(true).unwrap();
+        let read = self.stream.read(&mut [0; 16]);
+        self.stream.set_nonblocking(false).unwrap();
+        matches!(read, Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+}
+
+/// The next call, and what it asks for; none within this time.
+fn called(listener: &TcpListener, within: Duration) -> Option<Call> {
     listener.set_nonblocking(true).unwrap();
     let end = Instant::now() + within;
     loop {
         if let Ok((stream, _)) = listener.accept() {
             stream.set_nonblocking(false).unwrap();
-            let mut peer = Peer::new(stream);
+            let mut peer = Peer::new(stream.try_clone().unwrap());
             let asked = peer.message().unwrap();
-            return Some((peer, asked.lines().next().unwrap_or_default().to_owned()));
+            let asked = asked.lines().next().unwrap_or_default().to_owned();
+            return Some(Call { peer, stream, asked });
         }
         if Instant::now() > end {
             return None;
@@ -77,6 +101,38 @@
     }
 }
 
+const SOON: Duration = Duration::from_secs(8);
+
+/// The settings of the scenarios as those of so many dispatchers, whose lists are asked for or pushed.
+fn settings(discovery: &str, ask_within_ms: u64, instances: usize) -> String {
+    let rules = format!(r#""rules":{{"ask-within-us":{}}}"#, ask_within_ms * 1_000);
+    let rest = format!(r#""discovery":"{discovery}","n-instances":{instances}"#);
+    SETTINGS.replacen(r#""rules":{}"#, &format!("{rules},{rest}"), 1)
+}
+
+/// Unlike deployments.
+const DEPLOYMENTS: [(&str, u64, usize); 5] = [
+    ("subscribe", 10_000, 1),
+    ("subscribe", 2_000, 6),
+    ("subscribe", 10_000, 300),
+    ("automatic", 10_000, 6),
+    ("automatic", 2_000, 300),
+];
+
+/// Plays this in all of the deployments at once.
+fn in_all(play: fn((&str, u64, usize), Stage, TcpListener)) {
+    let plays = DEPLOYMENTS.map(|d| {
+        std::thread::spawn(move || {
+            let mut stage = Stage::with_settings(&["w1", "discovery"], None, &settings(d.0, d.1, d.2));
+            let discovery = stage.take("discovery");
+            play(d, stage, discovery);
+        })
+    });
+    for play in plays {
+        play.join().unwrap();
+    }
+}
+
 // Guards against a value that stays half holding the watch for ever: with nothing behind it, with blanks or with the
 // empty lines of a discovery that has nothing to tell.
 #[test]
@@ -86,20 +142,127 @@
     for drop in ["", " ", "\\n"] {
         let mut stage = Stage::new(&["discovery"]);
         let discovery = stage.take("discovery");
-        let (mut peer, _) = called(&discovery, Duration::from_secs(5)).unwrap();
-        peer.send("200");
-        peer.send(&half);
+        let mut call = called(&discovery, SOON).unwrap();
+        call.peer.send("200");
+        call.peer.send(&half);
         let begun = Instant::now();
         let again = loop {
-            if let Some((_, asked)) = called(&discovery, Duration::from_millis(100)) {
-                break asked;
+            if let Some(next) = called(&discovery, Duration::from_millis(100)) {
+                break next.asked;
             }
             assert!(begun.elapsed() < Duration::from_millis(3_500), "the watch is kept: {drop:?}");
             if !drop.is_empty() {
-                peer.send(&chunk(drop));
+                call.peer.send(&chunk(drop));
             }
         };
         assert!(begun.elapsed() > Duration::from_secs(2), "{drop:?}");
         assert!(again.starts_with("GET /api/targets?stream=1&index=1 "), "{again}");
     }
 }
+
+// Guards against a watch that is kept though it fell silent, in its first second or later, or was so from its head on.
+// How soon it is opened anew follows from the pace, see there.
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_and_told_what_it_missed() {
+    std::thread::scope(|scope| {
+        scope.spawn(|| in_all(|d, stage, discovery| silent(d, stage, discovery, "")));
+        in_all(|d, stage, discovery| silent(d, stage, discovery, "raw 1\\r\\n\\n\\r\\n"));
+    });
+}
+
+fn silent(deployment: (&str, u64, usize), mut stage: Stage, discovery: TcpListener, first: &str) {
+    // A large fleet begins over some seconds.
+    let mut watch = called(&discovery, SOON).unwrap();
+    watch.peer.send("200");
+    if !first.is_empty() {
+        watch.peer.send(first);
+    }
+    let last = Instant::now();
+    // Before that an agent is called anew, had we been late with the head.
+    let next = || called(&discovery, SOON).unwrap_or_else(|| panic!("{deployment:?}: nobody calls again"));
+    let mut again = next();
+    while last.elapsed() < Duration::from_secs(2) {
+        again = next();
+    }
+    assert!(!watch.open(), "{deployment:?}: the silent watch is kept");
+    again.peer.send("200");
+    again.peer.send(&format!("+ {}", listing(2, false, &[line("w1", 1, "draining")])));
+    stage.until_listed("w1", "Draining");
+}
+
+// Guards against a call that is never answered. Where lists are pushed the agent is silent while discovery is down,
+// and what it has counts as told the moment it is back: a call that it took meanwhile was waited for up to a second
+// and the next came after a pause. Now one more is out before; whichever is answered first is heard.
+#[test]
+fn an_agent_that_left_a_call_unanswered_is_called_beside_it() {
+    for late in [0, 1] {
+        let mut stage = Stage::with_settings(&["w1", "discovery"], None, &settings("automatic", 10_000, 300));
+        let discovery = stage.take("discovery");
+        let mut calls = [called(&discovery, SOON).unwrap(), called(&discovery, SOON).unwrap()];
+        assert!(calls[0].open(), "the first call was over before the second came");
+        calls[late].peer.send("200");
+        calls[late].peer.send(&format!("+ {}", listing(2, false, &[line("w1", 1, "draining")])));
+        stage.until_listed("w1", "Draining");
+    }
+}
+
+/// Runs a watcher that draws these from 0 to 1, less than a tenth off, on a thread of its own.
+fn draws(watcher: Watcher, wanted: &'static [f64]) {
+    let near = |seed: &u64| {
+        let mut rng = fastrand::Rng::with_seed(*seed);
+        wanted.iter().all(|w| (rng.f64() - w).abs() < 0.1)
+    };
+    let seed = (0..).find(near).unwrap();
+    std::thread::spawn(move || {
+        fastrand::seed(seed);
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(watcher.run());
+    });
+}
+
+fn watcher(discovery: &TcpListener, instances: usize) -> (Watcher, mpsc::Receiver<(Source, RouteNews)>) {
+    let conf: Conf = serde_json::from_str(&settings("subscribe", 10_000, instances)).unwrap();
+    let (tell, told) = mpsc::channel(1);
+    let address = discovery.local_addr().unwrap().to_string();
+    (Watcher::new(address, Arc::new(conf), Some(1), false, tell), told)
+}
+
+// Guards against a discovery that hangs being called as if its watch had stood: a call that is given up after its
+// patience of 2.5 s lasted as long as a watch that was served, and nobody backed off.
+#[test]
+fn callers_of_a_discovery_that_hangs_back_off() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    // Of 20, each draws from a second at first, and from two after a failure.
+    let (watcher, mut told) = watcher(&discovery, 20);
+    draws(watcher, &[0.05, 0.95]);
+    let _hangs = called(&discovery, SOON).unwrap();
+    assert_eq!(told.blocking_recv(), Some((Source::Discovery, RouteNews::Lost)));
+    let over = Instant::now();
+    called(&discovery, SOON).unwrap();
+    assert!(over.elapsed() > Duration::from_millis(1_500), "{:?}", over.elapsed());
+}
+
+// Guards against a discovery that tells without end filling the memory of a dispatcher that has other things to do;
+// and against the time in which we did not read counting as its silence.
+#[test]
+fn a_discovery_that_tells_without_end_is_read_as_fast_as_it_is_heard() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (watcher, mut told) = watcher(&discovery, 1);
+    draws(watcher, &[0.05]);
+    let mut watch = called(&discovery, SOON).unwrap();
+    watch.peer.send("200");
+    watch.stream.set_write_timeout(Some(Duration::from_millis(200))).unwrap();
+    let text = listing(2, false, &vec![line("w1", 1, "draining"); 1_000]);
+    let text = format!("{:x}\r\n{text}\n\r\n", text.len() + 1);
+    // The systems' buffers hold some megabytes; without a bound all of it would lie in ours.
+    let written = (0..1_000).take_while(|_| watch.stream.write_all(text.as_bytes()).is_ok()).count();
+    assert!(written < 1_000, "all of {} MB was taken in", (written * text.len()) >> 20);
+    // Longer than a silence.
+    std::thread::sleep(Duration::from_millis(2_700));
+    for n in 0..written {
+        let news = told.blocking_recv().unwrap().1;
+        assert!(matches!(news, RouteNews::Changes(lines) if lines.len() == 1_000), "the {n}th of {written}");
+    }
+    // What is silence is told as such.
+    assert_eq!(told.blocking_recv().unwrap().1, RouteNews::Lost);
+}
