Discovery: an older list takes no drain back, and a new address is believed

Seen by reading: - A whole list at a version below one that was told was taken as it is (discovery/mod.rs, heard; routes.rs, apply): a service that lags behind itself put a worker back into use of which we had been told that it drains or is gone. Such a list now goes to the core as RouteNews::Older. What an up-to-date list told to be draining or gone stays so until it starts anew, until a change names it ready, or until a list that is not older. Where discovery counts anew for good all the rest of its lists holds at once, and what such lists leave out and bring back comes back. Now it is asked first for as long as nothing was told.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -1,7 +1,7 @@
 //! The route set: next hops as their sources list them, under the handles that the decisions use.
 
 use pumiceway_decisions::api::{Entry, KindId, ListKind, Micros, WorkerId, WorkerState, ZoneId};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Where to find a next hop.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,6 +62,9 @@
 pub enum RouteNews {
     /// All that it lists.
     Whole(Vec<NextHop>),
+    /// All that it lists, at a version before one that it has told: it lags behind itself, or counts anew after a
+    /// restart of its own.
+    Older(Vec<NextHop>),
     /// All that it listed before a restart; may be out of date.
     WarmCopy(Vec<NextHop>),
     /// What has changed.
@@ -74,6 +77,8 @@
 pub(super) struct RouteSet {
     hops: Vec<(Source, NextHop)>,
     handles: HashMap<String, WorkerId>,
+    /// What a list that was up to date told to be draining or gone.
+    left: HashSet<WorkerId>,
 }
 
 impl RouteSet {
@@ -91,16 +96,24 @@
 
     /// Takes the news in; the lines that the decisions are to be told of, and as what.
     pub(super) fn apply(&mut self, source: Source, news: RouteNews) -> (ListKind, Vec<WorkerId>) {
+        let older = matches!(news, RouteNews::Older(_));
         let (kind, lines) = match news {
             RouteNews::Whole(lines) => (ListKind::Whole, lines),
+            RouteNews::Older(mut lines) => {
+                lines.iter_mut().for_each(|line| self.hold(line));
+                (ListKind::Whole, lines)
+            }
             RouteNews::WarmCopy(lines) => (ListKind::WarmCopy, lines),
             RouteNews::Changes(lines) => (ListKind::Changes, lines),
             RouteNews::Lost => return (ListKind::Lost, Vec::new()),
         };
         let whole = kind != ListKind::Changes;
         if whole {
-            for (_, hop) in self.hops.iter_mut().filter(|(s, _)| *s == source) {
+            for (n, (_, hop)) in self.hops.iter_mut().enumerate().filter(|(_, (s, _))| *s == source) {
                 hop.state = WorkerState::Gone;
+                if !older {
+                    self.left.insert(WorkerId(n as u32));
+                }
             }
         }
         let mut changed: Vec<WorkerId> = Vec::new();
@@ -116,6 +129,12 @@
                     self.hops.push((source, line));
                 }
             }
+            let ready = self.hops[handle.0 as usize].1.state == WorkerState::Ready;
+            if ready {
+                self.left.remove(&handle);
+            } else if !older {
+                self.left.insert(handle);
+            }
             changed.push(handle);
         }
         if whole {
@@ -128,6 +147,16 @@
         (kind, changed)
     }
 
+    /// Prevents: a list that is out of date takes back that a next hop drains or is gone, and it is sent to although
+    /// we were told. It is ready again once it has started anew, or by what is up to date or has changed since.
+    fn hold(&self, line: &mut NextHop) {
+        let Some(handle) = self.handles.get(&line.name).filter(|h| self.left.contains(h)) else { return };
+        let known = &self.hops[handle.0 as usize].1;
+        if line.state == WorkerState::Ready && known.ready_at >= line.ready_at {
+            (line.state, line.ready_at) = (known.state, known.ready_at);
+        }
+    }
+
     pub(super) fn entry(&self, hop: WorkerId) -> Entry<'_> {
         let line = &self.hops[hop.0 as usize].1;
         Entry {
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -175,6 +175,38 @@
     assert!(started(&all).is_empty(), "{all:?}");
 }
 
+// Guards against a list that is out of date taking back that a worker drains or is gone, to which it was then sent;
+// and against workers that stay out for good where discovery counts its versions anew.
+#[test]
+fn a_list_that_is_out_of_date_takes_no_drain_back() {
+    let later = |name: &str| NextHop { ready_at: START + MS, ..hop(name, WorkerState::Ready) };
+    let all = || ["a", "b", "c", "d"].map(|name| hop(name, WorkerState::Ready)).to_vec();
+    let older = RouteNews::Older(all());
+    let cases: [(&[RouteNews], &str); 6] = [
+        (std::slice::from_ref(&older), "cd"),
+        (&[older.clone(), older.clone()], "cd"),
+        (&[RouteNews::Older(vec![later("a"), hop("b", WorkerState::Ready)]), older.clone()], "acd"),
+        // What such a list leaves out is not told to be gone.
+        (&[RouteNews::Older(vec![]), older.clone()], "cd"),
+        (&[older.clone(), RouteNews::Changes(vec![hop("a", WorkerState::Ready)]), older.clone()], "acd"),
+        (&[older.clone(), RouteNews::Whole(all())], "abcd"),
+    ];
+    for (news, ready) in cases {
+        let mut stage = Stage::new(api::Effect::Safe, &["a", "b", "c", "d"]);
+        let mut tell = |news| drop(stage.tell(Event::Routes { source: Source::Discovery, news }));
+        tell(RouteNews::Changes(vec![hop("a", WorkerState::Draining)]));
+        let mut listed = all();
+        listed[0].state = WorkerState::Draining;
+        listed.remove(1);
+        tell(RouteNews::Whole(listed));
+        news.iter().cloned().for_each(tell);
+        let hops = stage.core.overview().hops;
+        let states: String =
+            hops.into_iter().filter(|h| h.state == WorkerState::Ready).map(|h| h.name).collect();
+        assert_eq!(states, ready, "{news:?}");
+    }
+}
+
 // Guards against one source's list wiping out what another lists.
 #[test]
 fn a_whole_list_speaks_for_its_own_source_only() {
--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -136,6 +136,8 @@
     pub moved: bool,
     /// Who is told.
     pub tell: mpsc::Sender<(Source, RouteNews)>,
+    /// The highest version that was told; after a restart of the service the one it is at may be lower.
+    newest: Option<u64>,
     /// When the watch that stands was answered.
     opened: Option<Instant>,
 }
@@ -158,13 +160,12 @@
         moved: bool,
         tell: mpsc::Sender<(Source, RouteNews)>,
     ) -> Watcher {
-        Watcher { address, conf, index, moved, tell, opened: None }
+        Watcher { address, conf, index, moved, tell, newest: index, opened: None }
     }
 
     /// Lists and watches, again and again.
     pub async fn run(mut self) {
-        // Prevents: a watch from nowhere begins with what changes next, and a second call has to ask for the list.
-        let mut list_first = self.index.is_none();
+        let mut malformed = false;
         let mut pace = Pace::of(&self.conf);
         // Prevents: dispatchers that start together call one service together, and most of them wait in vain.
         let draw = fastrand::f64();
@@ -173,11 +174,13 @@
             let before = self.index;
             let called = Instant::now();
             self.opened = None;
+            // Prevents: a watch from nowhere begins with what changes next, and a second call has to ask for the list.
+            let list_first = malformed || self.index.is_none();
             let broken = match self.round(list_first).await {
                 Ok(()) => Broken::Ended("the watch ended".into()),
                 Err(broken) => broken,
             };
-            list_first = matches!(broken, Broken::Malformed(_));
+            malformed = matches!(broken, Broken::Malformed(_));
             match broken {
                 Broken::Unheard => return,
                 Broken::Ended(why) | Broken::Malformed(why) => {
@@ -243,8 +246,14 @@
         let (index, lines) = (listing.index, listing.endpoints.len());
         info!(discovery = self.address, index, whole, lines, "the route set is told");
         self.index = Some(listing.index);
+        let older = self.newest > self.index;
+        self.newest = self.newest.max(self.index);
         let hops = listing.hops(&self.conf);
-        let news = if whole { RouteNews::Whole(hops) } else { RouteNews::Changes(hops) };
+        let news = match (whole, older) {
+            (true, false) => RouteNews::Whole(hops),
+            (true, true) => RouteNews::Older(hops),
+            (false, _) => RouteNews::Changes(hops),
+        };
         self.tell.send((Source::Discovery, news)).await.map_err(|_| Broken::Unheard)
     }
 
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -229,8 +229,9 @@
                 Some((source, news)) = told.recv() => shell.feed(Event::Routes { source, news }),
                 (source, news) = Watch::news(&mut shell.watch) => shell.feed(Event::Routes { source, news }),
                 (source, news) = Watch::news(&mut shell.next_watch) => {
-                    // Prevents: the old watch is dropped for one that has told nothing yet.
-                    if matches!(news, RouteNews::Whole(_)) {
+                    // Prevents: the old watch is dropped for one that has told nothing yet. Before changes a watch
+                    // from nowhere has told an answer to a call for the list, whole or not.
+                    if !matches!(news, RouteNews::Lost) {
                         shell.watch = shell.next_watch.take();
                         shell.feed(Event::Routes { source, news });
                     }
