Discovery: what it words badly is logged in one short line that names the place

serde's message repeats an unknown word in full, and names the place behind it (discovery/mod.rs, heard): a status of a megabyte made a line of a megabyte in the log. hops() warned once for each worker in a zone that the settings lack, and took the quota of the other warnings with it. Now the place stands first, what discovery said is cut after 200 characters, and a list makes one line for what is left out of it.

--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -88,18 +88,15 @@
         let known = |e: &Endpoint| {
             (conf.zone(e.zone.as_deref()), conf.kind(e.kind.as_deref()), e.status == Status::Gone)
         };
-        self.endpoints
-            .into_iter()
+        let mut left_out: Vec<String> = Vec::new();
+        let hops = (self.endpoints.into_iter())
             .filter_map(|e| {
                 let (zone, kind) = match known(&e) {
                     (Some(zone), Some(kind), _) => (zone, kind),
                     // What is gone is gone wherever it was.
                     (zone, kind, true) => (zone.unwrap_or_default(), kind.unwrap_or_default()),
                     _ => {
-                        warn!(
-                            hop = e.name,
-                            "a next hop has a zone or type that the settings lack, and is left out"
-                        );
+                        left_out.push(e.name);
                         return None;
                     }
                 };
@@ -120,7 +117,12 @@
                     jobs: None,
                 })
             })
-            .collect()
+            .collect();
+        if let Some(hop) = left_out.first() {
+            let (hop, lines) = (cut(hop), left_out.len());
+            warn!(hop, lines, "next hops have a zone or type that the settings lack, and are left out");
+        }
+        hops
     }
 }
 
@@ -184,6 +186,7 @@
             match broken {
                 Broken::Unheard => return,
                 Broken::Ended(why) | Broken::Malformed(why) => {
+                    let why = cut(&why);
                     let ms = called.elapsed().as_millis() as u64;
                     warn!(discovery = self.address, why, ms, "the watch broke")
                 }
@@ -232,8 +235,8 @@
         if line.trim_ascii().is_empty() {
             return Ok(());
         }
-        let listing: Listing =
-            serde_json::from_slice(line).map_err(|e| Broken::Malformed(format!("malformed: {e}")))?;
+        let listing: Listing = serde_json::from_slice(line)
+            .map_err(|e| Broken::Malformed(format!("{}:{}: {e}", e.line(), e.column())))?;
         let whole = listing.snapshot;
         // Prevents: changes to a list that was never told are taken for all there is.
         if self.index.is_none() && !whole && !asked {
@@ -308,6 +311,11 @@
     }
 }
 
+/// What fits into a line of the log. Prevents: it repeats megabytes that discovery said.
+fn cut(text: &str) -> String {
+    text.chars().take(200).collect()
+}
+
 fn check_length(line: &[u8]) -> Result<(), Broken> {
     match line.len() > LINE_MOST {
         true => Err(Broken::Malformed("a line without end".into())),
--- a/crates/net/tests/watches.rs
+++ b/crates/net/tests/watches.rs
@@ -388,3 +388,42 @@
         }
     }
 }
+
+// Guards against a list that never ends, in time or in length, keeping the dispatcher from asking again, or one that
+// cannot be read taking down what is known; and against workers listed twice.
+#[test]
+fn whatever_list_comes_the_last_good_one_stands_and_the_list_is_asked_for_again() {
+    let trickles = "";
+    let huge = format!("{{\"index\":\"{}", "x".repeat(5 << 20));
+    let good = listing(2, true, &[line("w1", 1, "ready"), line("w1", 1, "draining")]);
+    for said in [trickles, &huge, &format!("{good}]"), "{}"] {
+        let mut stage = asked(&["w1", "discovery"]);
+        let discovery = stage.take("discovery");
+        let mut watch = called(&discovery, SOON).unwrap();
+        watch.peer.send("200");
+        watch.peer.send("+ nonsense");
+        let mut list = called(&discovery, SOON).unwrap();
+        assert!(list.asked.starts_with("GET /api/targets "), "{}", list.asked);
+        list.peer.send("200");
+        if !said.is_empty() {
+            // It may have had enough before all is written.
+            let _ = write!(list.stream, "{:x}\r\n{said}\r\n0\r\n\r\n", said.len());
+        }
+        let begun = Instant::now();
+        let mut again = loop {
+            if let Some(next) = called(&discovery, Duration::from_millis(100)) {
+                break next;
+            }
+            assert!(begun.elapsed() < SOON, "nobody asks again");
+            list.peer.send("raw 1\\r\\n \\r\\n");
+        };
+        assert!(!list.open(), "the call is kept");
+        stage.until_listed("w1", "Ready");
+        let path = if said.is_empty() { "GET /api/targets?stream=1&index=1 " } else { "GET /api/targets " };
+        assert!(again.asked.starts_with(path), "{}", again.asked);
+        again.peer.send(&format!("json {good}"));
+        if !said.is_empty() {
+            stage.until_listed("w1", "Draining");
+        }
+    }
+}
