Test: a worker that returns elsewhere, and another name at its address

Held already. With a client kept for the old address (shell.rs, hop) planted, a_worker_that_returns_is_found_by_its_name_and_where_it_is_listed_now prints `w2 wait b: nobody came`.

--- a/crates/net/tests/watches.rs
+++ b/crates/net/tests/watches.rs
@@ -427,3 +427,35 @@
         }
     }
 }
+
+// Guards against a worker that leaves and comes back being looked for where it was, or another that takes over its
+// address being taken for it.
+#[test]
+fn a_worker_that_returns_is_found_by_its_name_and_where_it_is_listed_now() {
+    let mut stage = asked(&["w1", "w2", "discovery"]);
+    let (old, new) = (stage.port("w1"), stage.port("w2"));
+    let told = |index, lines: &[String]| format!("d send + {}", listing(index, false, lines));
+    let served = |name: &str, hop: &str, id: &str| {
+        format!(
+            "c send POST /rate-push/k {id} 5000 x
+             {hop} wait {name}
+             {name} expect POST /rate-push/k {id}
+             {name} send done {id}
+             c expect 200 {id}"
+        )
+    };
+    stage.go_on(&format!("{WATCHED}\n {}", told(2, &[line("w2", new, "gone")])));
+    stage.until_listed("w2", "Gone");
+    stage.go_on(&served("a", "w1", "t1"));
+    // Gone, and back under its name elsewhere.
+    stage.go_on(&told(3, &[line("w1", old, "gone")]));
+    stage.until_listed("w1", "Gone");
+    stage.go_on(&told(4, &[line("w1", new, "ready")]));
+    stage.until_listed("w1", "Ready");
+    stage.go_on(&served("b", "w2", "t2"));
+    // Its address goes to one of another name, which has a connection of its own.
+    stage.go_on(&told(5, &[line("w1", new, "gone"), line("w9", new, "ready")]));
+    stage.until_listed("w9", "Ready");
+    stage.until_listed("w1", "Gone");
+    stage.go_on(&served("e", "w2", "t3"));
+}
