--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -20,13 +20,16 @@
 use stream::Pieces;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, timeout_at};
 use tracing::{info, warn};
 
 /// A call is answered within this time or has failed.
 const CALL: Duration = Duration::from_millis(2_500);
-/// An agent on this machine answers at once or, while it has nothing to tell, not at all: it is soon asked anew.
+/// An agent on this machine answers at once or, while it has nothing to tell, not at all: it is soon asked anew,
+/// beside the calls that are out.
 const AGENT_CALL: Duration = Duration::from_secs(1);
+const AGENT_AGAIN: Duration = Duration::from_millis(400);
 /// Discovery sends a line every 2 s. One that is missing for this long tells that the watch is lost.
 const SILENCE: Duration = Duration::from_millis(2_500);
 /// A value that a watch tells may be this long, and a whole list.
@@ -85,18 +88,15 @@
         let known = |e: &Endpoint| {
             (conf.zone(e.zone.as_deref()), conf.kind(e.kind.as_deref()), e.status == Status::Gone)
         };
-        self.endpoints
-            .into_iter()
+        let mut left_out: Vec<String> = Vec::new();
+        let hops = (self.endpoints.into_iter())
             .filter_map(|e| {
                 let (zone, kind) = match known(&e) {
                     (Some(zone), Some(kind), _) => (zone, kind),
                     // What is gone is gone wherever it was.
                     (zone, kind, true) => (zone.unwrap_or_default(), kind.unwrap_or_default()),
                     _ => {
-                        warn!(
-                            hop = e.name,
-                            "a next hop has a zone or type that the settings lack, and is left out"
-                        );
+                        left_out.push(e.name);
                         return None;
                     }
                 };
@@ -117,7 +117,12 @@
                     jobs: None,
                 })
             })
-            .collect()
+            .collect();
+        if let Some(hop) = left_out.first() {
+            let (hop, lines) = (cut(hop), left_out.len());
+            warn!(hop, lines, "next hops have a zone or type that the settings lack, and are left out");
+        }
+        hops
     }
 }
 
@@ -132,7 +137,11 @@
     /// A new configuration has moved the service here.
     pub moved: bool,
     /// Who is told.
-    pub tell: mpsc::UnboundedSender<(Source, RouteNews)>,
+    pub tell: mpsc::Sender<(Source, RouteNews)>,
+    /// The highest version that was told; after a restart of the service the one it is at may be lower.
+    newest: Option<u64>,
+    /// When the watch that stands was answered.
+    opened: Option<Instant>,
 }
 
 enum Broken {
@@ -145,10 +154,20 @@
 }
 
 impl Watcher {
+    /// One of the service at this address; see the fields.
+    pub fn new(
+        address: String,
+        conf: Arc<Conf>,
+        index: Option<u64>,
+        moved: bool,
+        tell: mpsc::Sender<(Source, RouteNews)>,
+    ) -> Watcher {
+        Watcher { address, conf, index, moved, tell, newest: index, opened: None }
+    }
+
     /// Lists and watches, again and again.
     pub async fn run(mut self) {
-        // Prevents: a watch from nowhere begins with what changes next, and a second call has to ask for the list.
-        let mut list_first = self.index.is_none();
+        let mut malformed = false;
         let mut pace = Pace::of(&self.conf);
         // Prevents: dispatchers that start together call one service together, and most of them wait in vain.
         let draw = fastrand::f64();
@@ -156,40 +175,44 @@
         loop {
             let before = self.index;
             let called = Instant::now();
+            self.opened = None;
+            // Prevents: a watch from nowhere begins with what changes next, and a second call has to ask for the list.
+            let list_first = malformed || self.index.is_none();
             let broken = match self.round(list_first).await {
                 Ok(()) => Broken::Ended("the watch ended".into()),
                 Err(broken) => broken,
             };
-            list_first = matches!(broken, Broken::Malformed(_));
+            malformed = matches!(broken, Broken::Malformed(_));
             match broken {
                 Broken::Unheard => return,
                 Broken::Ended(why) | Broken::Malformed(why) => {
+                    let why = cut(&why);
                     let ms = called.elapsed().as_millis() as u64;
                     warn!(discovery = self.address, why, ms, "the watch broke")
                 }
             }
-            if self.tell.send((Source::Discovery, RouteNews::Lost)).is_err() {
+            if self.tell.send((Source::Discovery, RouteNews::Lost)).await.is_err() {
                 return;
             }
-            sleep(pace.next(called.elapsed(), self.index > before, fastrand::f64())).await;
+            // Prevents: a call that hung counts as a watch that stood, and who hangs is called without backing off.
+            let stood = self.opened.map(|at| at.elapsed()).unwrap_or_default();
+            sleep(pace.next(stood, self.index > before, fastrand::f64())).await;
         }
     }
 
     async fn round(&mut self, list_first: bool) -> Result<(), Broken> {
-        let mut sender = self.connect().await?;
         if list_first {
-            let mut body = self.call(&mut sender, "/api/targets").await?;
+            let (_sender, mut body) = self.call("/api/targets").await?;
             let (mut text, end) = (Vec::new(), Instant::now() + self.patience());
             while let Some(frame) = next(&mut body, end).await? {
                 text.extend_from_slice(&frame);
                 check_length(&text)?;
             }
-            self.heard(&text, true)?;
-            // The list may have left the connection unusable.
-            sender = self.connect().await?;
+            self.heard(&text, true).await?;
         }
         let path = format!("/api/targets?stream=1&index={}", self.index.unwrap_or_default());
-        let mut body = self.call(&mut sender, &path).await?;
+        let (_sender, mut body) = self.call(&path).await?;
+        self.opened = Some(Instant::now());
         // Prevents: a value that trickles in keeps the watch for ever. It is whole within the time of a silence.
         let (mut pieces, mut begun) = (Pieces::default(), Instant::now());
         while let Some(frame) = next(&mut body, begun + SILENCE).await? {
@@ -199,7 +222,7 @@
             let mut frame = &frame[..];
             while let Some(piece) = pieces.next(&mut frame) {
                 check_length(&piece)?;
-                self.heard(&piece, false)?;
+                self.heard(&piece, false).await?;
                 begun = Instant::now();
             }
             check_length(pieces.held())?;
@@ -208,12 +231,12 @@
     }
 
     /// Takes in a value, or the answer to a call that asked for the whole list.
-    fn heard(&mut self, line: &[u8], asked: bool) -> Result<(), Broken> {
+    async fn heard(&mut self, line: &[u8], asked: bool) -> Result<(), Broken> {
         if line.trim_ascii().is_empty() {
             return Ok(());
         }
-        let listing: Listing =
-            serde_json::from_slice(line).map_err(|e| Broken::Malformed(format!("malformed: {e}")))?;
+        let listing: Listing = serde_json::from_slice(line)
+            .map_err(|e| Broken::Malformed(format!("{}:{}: {e}", e.line(), e.column())))?;
         let whole = listing.snapshot;
         // Prevents: changes to a list that was never told are taken for all there is.
         if self.index.is_none() && !whole && !asked {
@@ -226,9 +249,15 @@
         let (index, lines) = (listing.index, listing.endpoints.len());
         info!(discovery = self.address, index, whole, lines, "the route set is told");
         self.index = Some(listing.index);
+        let older = self.newest > self.index;
+        self.newest = self.newest.max(self.index);
         let hops = listing.hops(&self.conf);
-        let news = if whole { RouteNews::Whole(hops) } else { RouteNews::Changes(hops) };
-        self.tell.send((Source::Discovery, news)).map_err(|_| Broken::Unheard)
+        let news = match (whole, older) {
+            (true, false) => RouteNews::Whole(hops),
+            (true, true) => RouteNews::Older(hops),
+            (false, _) => RouteNews::Changes(hops),
+        };
+        self.tell.send((Source::Discovery, news)).await.map_err(|_| Broken::Unheard)
     }
 
     /// How long a call is waited for.
@@ -239,32 +268,54 @@
         }
     }
 
-    async fn connect(&self) -> Result<SendRequest<Empty<Bytes>>, Broken> {
-        let ended = |e: &dyn std::fmt::Display| Broken::Ended(format!("cannot connect: {e}"));
-        let stream = timeout(self.patience(), TcpStream::connect(&self.address)).await;
-        let stream = stream.map_err(|e| ended(&e))?.map_err(|e| ended(&e))?;
-        let _ = stream.set_nodelay(true);
-        let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = shaken.map_err(|e| ended(&e))?;
-        // Ends when the sender and the body are dropped.
-        tokio::spawn(connection);
-        Ok(sender)
+    /// Calls on a connection of its own, and waits for the head of the answer.
+    ///
+    /// Prevents: a call that an agent took while it was silent, and never answers, hides that the agent is back.
+    async fn call(&self, path: &str) -> Result<Answer, Broken> {
+        let again = match self.conf.discovery {
+            Discovery::Subscribe => self.patience(),
+            Discovery::Automatic => AGENT_AGAIN,
+        };
+        let (end, mut calls) = (Instant::now() + self.patience(), JoinSet::new());
+        loop {
+            calls.spawn(call(self.address.clone(), path.to_owned()));
+            let next = end.min(Instant::now() + again);
+            match timeout_at(next, calls.join_next()).await {
+                Ok(Some(Ok(answer))) => return answer,
+                Ok(_) => return Err(Broken::Ended("the call was dropped".into())),
+                Err(_) if next == end => return Err(Broken::Ended("no answer in time".into())),
+                Err(_) => {}
+            }
+        }
     }
+}
 
-    async fn call(&self, sender: &mut SendRequest<Empty<Bytes>>, path: &str) -> Result<Incoming, Broken> {
-        let request = Request::get(path)
-            .header("Host", &self.address)
-            .body(Empty::new())
-            .map_err(|e| Broken::Ended(format!("cannot ask: {e}")))?;
-        match timeout(self.patience(), sender.send_request(request)).await {
-            Ok(Ok(answer)) if answer.status().is_success() => Ok(answer.into_body()),
-            Ok(Ok(answer)) => Err(Broken::Ended(format!("answered {}", answer.status()))),
-            Ok(Err(e)) => Err(Broken::Ended(format!("call failed: {e}"))),
-            Err(_) => Err(Broken::Ended("no answer in time".into())),
-        }
+/// Ends when both are dropped.
+type Answer = (SendRequest<Empty<Bytes>>, Incoming);
+
+async fn call(address: String, path: String) -> Result<Answer, Broken> {
+    let ended = |e: &dyn std::fmt::Display| Broken::Ended(format!("cannot connect: {e}"));
+    let stream = TcpStream::connect(&address).await.map_err(|e| ended(&e))?;
+    let _ = stream.set_nodelay(true);
+    let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = shaken.map_err(|e| ended(&e))?;
+    tokio::spawn(connection);
+    let request = Request::get(path)
+        .header("Host", &address)
+        .body(Empty::new())
+        .map_err(|e| Broken::Ended(format!("cannot ask: {e}")))?;
+    match sender.send_request(request).await {
+        Ok(answer) if answer.status().is_success() => Ok((sender, answer.into_body())),
+        Ok(answer) => Err(Broken::Ended(format!("answered {}", answer.status()))),
+        Err(e) => Err(Broken::Ended(format!("call failed: {e}"))),
     }
 }
 
+/// What fits into a line of the log. Prevents: it repeats megabytes that discovery said.
+fn cut(text: &str) -> String {
+    text.chars().take(200).collect()
+}
+
 fn check_length(line: &[u8]) -> Result<(), Broken> {
     match line.len() > LINE_MOST {
         true => Err(Broken::Malformed("a line without end".into())),
