What was never sent on is refused with advice, not failed, when its time is over

By reading: Timer::Transaction in reducer.rs answered Failed whatever had become of the attempts. It is reached where the decisions were told of more time than there is: after SIGTERM the core shortens the deadline (started + forced - 0.3 s) and they hold the request past it. Less time left is not told at the start instead: that would make the request look old and refuse at once what a next hop may yet be free for.

Also: the busy answer without room for an identity had Retry-After 1 s where the settings give no advice or less; and a FrontsClosed that came before the fronts were told to close was forgotten, after which Exit never came.

Ruled out: X-Remaining-Ms of 0 to 25 (refused at once), attempts that all never ran (give_up refuses), a loop stall (the wake-up stands before the transaction's own timer), Moot sends (count as never run).

tests/ends.rs plays the ends at three unlike deployments. Without the mend: 'site 0, class 1, None, stopping true: [(1, Failed("not done in time"))]', on sockets 'got HTTP/1.1 502' for 503 with Retry-After; 'site 0, early true: it never ends'.

--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -27,7 +27,7 @@
 const WAKE_LEAST: Micros = 1_000;
 /// How long kept connections are distrusted after one was found dead.
 const DISTRUST: Micros = 30_000_000;
-/// Advice to come back where the module was not asked.
+/// Advice to come back where the module was not asked; never longer than clients heed.
 const COME_BACK: Micros = 1_000_000;
 
 /// All that a dispatcher knows.
@@ -39,6 +39,7 @@
     once: Vec<bool>,
     /// Kept connections are not trusted with jobs that may run once only, until then.
     distrust_until: Micros,
+    come_back: Option<Micros>,
     routes: RouteSet,
     discovery: Option<String>,
     transactions: BTreeMap<RequestId, Open>,
@@ -52,6 +53,7 @@
     wake_at: Option<Micros>,
     alarm: Option<Micros>,
     drain: Drain,
+    fronts_closed: bool,
     /// How long after a call to stop the end may be forced.
     forced: Micros,
     ready: bool,
@@ -71,7 +73,7 @@
 enum Drain {
     Serving,
     Crossing { since: Micros },
-    Closing { since: Micros, fronts_closed: bool },
+    Closing { since: Micros },
     Over,
 }
 
@@ -108,6 +110,7 @@
             distrust_until: 0,
             once: settings.classes.iter().map(|c| c.effect == api::Effect::Unsafe).collect(),
             longest: settings.classes.iter().map(|c| c.deadline).collect(),
+            come_back: settings.retry_after.then_some(COME_BACK.min(settings.max_retry_after)),
             // Prevents: where all deadlines are short, the end comes before connections are closed.
             forced: FORCED_AFTER
                 + settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).min(FORCED_DEADLINE),
@@ -124,6 +127,7 @@
             wake_at: None,
             alarm: None,
             drain: Drain::Serving,
+            fronts_closed: false,
             ready: false,
             last_id: 0,
             pending: VecDeque::new(),
@@ -163,14 +167,11 @@
                 self.timers.insert((now + serves, Timer::Crossed));
             }
             Event::Terminate => {}
-            Event::FrontsClosed => {
-                if let Drain::Closing { fronts_closed, .. } = &mut self.drain {
-                    *fronts_closed = true;
-                }
-            }
+            // Prevents: where they close before they were told to, the end never comes.
+            Event::FrontsClosed => self.fronts_closed = true,
         }
         self.settle(now, &mut out);
-        if matches!(self.drain, Drain::Closing { fronts_closed: true, .. }) && self.tickets.is_empty() {
+        if matches!(self.drain, Drain::Closing { .. }) && self.fronts_closed && self.tickets.is_empty() {
             self.drain = Drain::Over;
             out.push(Effect::Exit);
         }
@@ -330,7 +331,7 @@
                 }
                 Known::Over(answer) => return out.push(Effect::Answer { ticket, answer }),
                 Known::NoRoom => {
-                    let answer = Answer::Busy { retry_after: Some(COME_BACK) };
+                    let answer = Answer::Busy { retry_after: self.come_back };
                     return out.push(Effect::Answer { ticket, answer });
                 }
             }
@@ -482,13 +483,16 @@
                     self.close_branch(now, branch, Status::Timeout, None);
                 }
                 Timer::Transaction(request) => {
+                    // Whether it is refused or has failed is for the decisions to say, who know the rules.
+                    self.tell(api::Event::Expired { request });
+                    self.settle(now, out);
                     // Prevents: a client is left without an answer whatever the decisions make of it.
                     self.answer(now, request, Answer::Failed("not done in time"), out);
                     self.tell(api::Event::Gone { request });
                 }
                 Timer::Crossed => {
                     if let Drain::Crossing { since } = self.drain {
-                        self.drain = Drain::Closing { since, fronts_closed: false };
+                        self.drain = Drain::Closing { since };
                     }
                     out.push(Effect::CloseFronts);
                 }
--- /dev/null
+++ b/crates/core/tests/ends.rs
@@ -0,0 +1,449 @@
+//! Every way in which a transaction and its branches end, in either order where two ends meet, at three unlike
+//! deployments. The clock is the test's own.
+
+#[path = "../../decisions/tests/common/mod.rs"]
+mod common;
+
+use bytes::Bytes;
+use common::{MS, START, settings};
+use pumiceway_core::*;
+use pumiceway_decisions::api::{
+    self, ClassId, Group, KindId, Micros, ReportVia, Settings, WorkerState, ZoneId,
+};
+use std::sync::Arc;
+
+const SAFE: usize = 0;
+const KEYED: usize = 1;
+const ONCE: usize = 2;
+
+/// Deadlines from 0.3 to 20 s, windows from 0.8 to 7.5 s with each group, 1 to 6 attempts; with and without advice
+/// to come back and calling off.
+fn sites() -> [Settings; 3] {
+    [
+        (Group::All, 800, [300, 2_000, 1_000], 1, Some(500), true),
+        (Group::Zone, 7_500, [5_000, 5_000, 15_000], 3, None, false),
+        (Group::Cell, 2_000, [20_000, 20_000, 20_000], 6, Some(2_000), true),
+    ]
+    .map(|(group, window, deadlines, max_attempts, advice, cancel)| {
+        let keyed = api::Effect::Keyed { group, window: window * MS };
+        let effects = [api::Effect::Safe, keyed, api::Effect::Unsafe];
+        let class = |(effect, deadline): (api::Effect, Micros)| {
+            let deadline = deadline * MS;
+            api::Class { aim: deadline, deadline, ..common::class(effect) }
+        };
+        Settings {
+            classes: effects.into_iter().zip(deadlines).map(class).collect(),
+            probes: false,
+            report_via: ReportVia::None,
+            second_copies: false,
+            retry_after: advice.is_some(),
+            max_retry_after: advice.unwrap_or(0) * MS,
+            max_attempts,
+            cancel,
+            ..settings(api::Effect::Safe)
+        }
+    })
+}
+
+struct Stage {
+    core: Core,
+    now: Micros,
+    deadlines: Vec<Micros>,
+}
+
+fn hop(name: &str) -> NextHop {
+    let reach = Reach::Address(format!("{name}:1"));
+    let (zone, kind, state) = (ZoneId(0), KindId(0), WorkerState::Ready);
+    let (cell, ready_at, size, warm, jobs) = (Some(0), 0, 1.0, false, None);
+    NextHop { name: name.to_owned(), reach, zone, kind, cell, state, ready_at, size, warm, jobs }
+}
+
+impl Stage {
+    fn new(settings: Settings, hops: &[NextHop]) -> Stage {
+        Stage::keeping(settings, hops, Retention::default())
+    }
+
+    fn keeping(settings: Settings, hops: &[NextHop], retention: Retention) -> Stage {
+        let deadlines = settings.classes.iter().map(|c| c.deadline).collect();
+        let core = Core::new(settings, 7, retention).unwrap();
+        let mut stage = Stage { core, now: START, deadlines };
+        stage.lists(hops);
+        stage
+    }
+
+    fn lists(&mut self, hops: &[NextHop]) -> Vec<Effect> {
+        self.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(hops.to_vec()) })
+    }
+
+    fn tell(&mut self, event: Event) -> Vec<Effect> {
+        self.core.reduce(self.now, event)
+    }
+
+    fn submit(&mut self, class: usize, ticket: u64) -> Vec<Effect> {
+        self.submit_as(class, ticket, &format!("t{ticket}"), self.deadlines[class])
+    }
+
+    fn submit_as(&mut self, class: usize, ticket: u64, id: &str, left: Micros) -> Vec<Effect> {
+        self.submitted(ticket, transaction(class, id, left))
+    }
+
+    fn submitted(&mut self, ticket: u64, transaction: Transaction) -> Vec<Effect> {
+        self.tell(Event::Submitted { ticket: Ticket(ticket), transaction })
+    }
+
+    fn left(&mut self, ticket: u64) -> Vec<Effect> {
+        self.tell(Event::Left { ticket: Ticket(ticket) })
+    }
+
+    fn ended(&mut self, branch: BranchId, ending: Ending) -> Vec<Effect> {
+        self.tell(Event::Ended { branch, ending, report: None })
+    }
+
+    /// Lets time pass, with an alarm every few milliseconds.
+    fn pass(&mut self, span: Micros) -> Vec<Effect> {
+        let end = self.now + span;
+        let mut all = Vec::new();
+        while self.now < end {
+            self.now = (self.now + 5 * MS).min(end);
+            all.extend(self.tell(Event::Due));
+        }
+        all
+    }
+}
+
+fn transaction(class: usize, id: &str, left: Micros) -> Transaction {
+    let (id, path, repeat_key) = (id.to_owned(), format!("/c{class}/k"), Some("key".to_owned()));
+    let job = Arc::new(Job { id, path, repeat_key, body: Bytes::new() });
+    let class = ClassId(class);
+    Transaction { class, left, slots: 1.0, memory: 0.0, tenant: None, job, identity: None }
+}
+
+fn started(effects: &[Effect]) -> Vec<BranchId> {
+    effects
+        .iter()
+        .filter_map(|e| if let Effect::Start { branch, .. } = e { Some(*branch) } else { None })
+        .collect()
+}
+
+fn answers(effects: &[Effect]) -> Vec<(u64, Answer)> {
+    effects
+        .iter()
+        .filter_map(|e| match e {
+            Effect::Answer { ticket, answer } => Some((ticket.0, answer.clone())),
+            _ => None,
+        })
+        .collect()
+}
+
+fn done() -> Ending {
+    Ending::Served("x".into())
+}
+
+/// A busy answer, with advice within the settings where these have it.
+fn busy(s: &Settings, answers: &[(u64, Answer)], ticket: u64) -> bool {
+    let [(to, Answer::Busy { retry_after })] = answers else { return false };
+    *to == ticket && retry_after.map(|t| t <= s.max_retry_after) == s.retry_after.then_some(true)
+}
+
+// Guards against an answer that says failed where nothing has run: it is refused, so that its client comes again.
+// After a call to stop time ends sooner than the decisions were told.
+#[test]
+fn what_was_never_sent_on_is_busy_when_its_time_is_over_and_what_may_have_run_goes_by_its_class() {
+    for (n, s) in sites().into_iter().enumerate() {
+        for class in [SAFE, KEYED, ONCE] {
+            for (hops, ending) in [
+                (0, None),
+                (1, None),
+                (1, Some(Ending::NotConnected)),
+                (1, Some(Ending::TurnedAway)),
+                (1, Some(Ending::Error)),
+            ] {
+                for stopping in [false, true] {
+                    let mut stage = Stage::new(s.clone(), &vec![hop("a"); hops]);
+                    if stopping {
+                        stage.tell(Event::Terminate);
+                        stage.pass(650 * MS);
+                    }
+                    let mut all = stage.submit(class, 1);
+                    let out = started(&all);
+                    assert_eq!(out.len(), hops);
+                    if let Some(ending) = &ending {
+                        all = stage.ended(out[0], ending.clone());
+                        // It is gone, so that no further attempt is made.
+                        all.extend(stage.lists(&[]));
+                    }
+                    all.extend(stage.pass(20_500 * MS));
+                    let ran = hops == 1 && matches!(ending, None | Some(Ending::Error));
+                    let group_all = n == 0 && class == KEYED;
+                    let harmless = !ran || class == SAFE || group_all;
+                    let told = answers(&all);
+                    let what = format!("site {n}, class {class}, {ending:?}, stopping {stopping}: {told:?}");
+                    assert!(told.len() == 1, "{what}");
+                    assert_eq!(busy(&s, &told, 1), harmless, "{what}");
+                    assert!(harmless || matches!(told[0], (1, Answer::Failed(_))), "{what}");
+                }
+            }
+        }
+    }
+}
+
+// Guards against the same for a client that no longer waits when it is heard.
+#[test]
+fn what_comes_with_no_time_left_is_busy_at_once() {
+    for s in sites() {
+        for class in [SAFE, KEYED, ONCE] {
+            for left in [0, 1, 9, 10, 25] {
+                let mut stage = Stage::new(s.clone(), &[hop("a")]);
+                let all = stage.submit_as(class, 1, "t", left * MS);
+                assert!(busy(&s, &answers(&all), 1) && started(&all).is_empty(), "{class} {left}: {all:?}");
+            }
+        }
+    }
+}
+
+// Guards against a job that is sent on after its client left, whatever it waited for and whatever comes with its
+// leaving; and against one of many that is overlooked.
+#[test]
+fn a_client_that_left_while_it_waited_is_not_sent_on() {
+    let cold = |stage: &Stage| NextHop { ready_at: stage.now, ..hop("a") };
+    for s in sites() {
+        for class in [SAFE, KEYED, ONCE] {
+            for count in [1, 200] {
+                for due_first in [false, true] {
+                    for turn in [false, true] {
+                        // At a cold next hop of many dispatchers it waits for its turn, elsewhere for a next hop.
+                        let instances = if turn { 1_000 } else { 1 };
+                        let mut stage = Stage::new(Settings { instances, ..s.clone() }, &[]);
+                        if turn {
+                            stage.lists(&[cold(&stage)]);
+                        }
+                        for ticket in 0..count {
+                            assert!(started(&stage.submit(class, ticket)).is_empty(), "it waits");
+                        }
+                        stage.now += 100 * MS;
+                        let mut all = vec![];
+                        if due_first {
+                            all.extend(stage.tell(Event::Due));
+                        }
+                        // From one end and the other, so that neither order of leaving matters.
+                        for ticket in (0..count).step_by(2).chain((0..count).skip(1).step_by(2)) {
+                            all.extend(stage.left(ticket));
+                        }
+                        all.extend(stage.tell(Event::Due));
+                        all.extend(stage.lists(&[hop("b")]));
+                        all.extend(stage.pass(3_000 * MS));
+                        assert!(
+                            started(&all).is_empty() && answers(&all).is_empty(),
+                            "{class} {count}: {all:?}"
+                        );
+                        assert!(stage.core.overview().classes.iter().all(|c| *c == (0, 0)));
+                    }
+                }
+            }
+        }
+    }
+}
+
+// Guards against two answers, or two bookings, where a branch ends in two ways at one instant.
+#[test]
+fn of_two_ends_at_one_instant_the_first_counts() {
+    for (n, s) in sites().into_iter().enumerate() {
+        for class in [SAFE, KEYED, ONCE] {
+            let until = s.classes[class].deadline - 25 * MS;
+            for answer_first in [true, false] {
+                let mut stage = Stage::new(s.clone(), &[NextHop { jobs: Some(1), ..hop("a") }]);
+                let branch = started(&stage.submit(class, 1))[0];
+                // Nothing but the branch's own time is due with it.
+                stage.pass(until - 5 * MS);
+                stage.now += 5 * MS;
+                let (mut first, mut then) = (vec![], vec![]);
+                if answer_first {
+                    first.extend(stage.ended(branch, done()));
+                    then.extend(stage.tell(Event::Due));
+                } else {
+                    first.extend(stage.tell(Event::Due));
+                    then.extend(stage.ended(branch, done()));
+                }
+                // Again, and news of what is over.
+                then.extend(stage.ended(branch, done()));
+                then.extend(stage.ended(branch, Ending::Reset));
+                for news in [News::Started, News::Share(0.5), News::Data("x".into())] {
+                    then.extend(stage.tell(Event::News { branch, news }));
+                }
+                then.extend(stage.left(1));
+                let what =
+                    format!("site {n}, class {class}, answer first {answer_first}: {first:?} {then:?}");
+                assert_eq!(first.contains(&Effect::Cut { branch }), !answer_first, "{what}");
+                let [(1, answer)] = &answers(&first)[..] else { panic!("{what}") };
+                assert_eq!(*answer == Answer::Served("x".into()), answer_first, "{what}");
+                let silent = |e: &Effect| matches!(e, Effect::Alarm { .. });
+                assert!(then.iter().all(silent), "{what}");
+                // Its slot is free, and once: the next one goes out, and one more waits.
+                let next = started(&stage.submit(class, 2));
+                assert_eq!(next.len(), 1, "{what}");
+                assert!(started(&stage.submit(class, 3)).is_empty(), "{what}");
+                let freed = stage.ended(next[0], done());
+                assert_eq!(started(&freed).len(), 1, "{what}");
+            }
+        }
+    }
+}
+
+// Guards against a late word of one branch that is taken for the next one's.
+#[test]
+fn what_comes_again_for_a_branch_says_nothing_of_the_next() {
+    for s in sites().into_iter().filter(|s| s.max_attempts > 1) {
+        for again in [Ending::Error, Ending::Reset, Ending::NotConnected, Ending::Unusable, done()] {
+            let mut stage = Stage::new(s.clone(), &["a", "b"].map(|h| NextHop { jobs: Some(1), ..hop(h) }));
+            let first = started(&stage.submit(SAFE, 1))[0];
+            let moved = stage.ended(first, Ending::Error);
+            let [second] = started(&moved)[..] else { panic!("{moved:?}") };
+            let late = stage.ended(first, again.clone());
+            assert!(started(&late).is_empty() && answers(&late).is_empty(), "{again:?}: {late:?}");
+            // One slot is free.
+            assert_eq!(started(&stage.submit(SAFE, 2)).len(), 1);
+            assert!(started(&stage.submit(SAFE, 3)).is_empty());
+            assert_eq!(answers(&stage.ended(second, done())), [(1, Answer::Served("x".into()))]);
+        }
+    }
+}
+
+// Guards against an answer to a client that left as its answer came, and against one that is owed to another.
+#[test]
+fn a_client_that_leaves_as_its_answer_comes_gets_one_or_none() {
+    for s in sites() {
+        for leaves_first in [true, false] {
+            let mut stage = Stage::new(s.clone(), &[hop("a")]);
+            let branch = started(&stage.submit(ONCE, 1))[0];
+            let mut all = vec![];
+            if leaves_first {
+                all.extend(stage.left(1));
+                assert_eq!(all.contains(&Effect::Cut { branch }), s.cancel);
+                all.extend(stage.ended(branch, done()));
+            } else {
+                all.extend(stage.ended(branch, done()));
+                assert!(stage.left(1).is_empty());
+            }
+            all.extend(stage.pass(21_000 * MS));
+            assert_eq!(answers(&all).len(), usize::from(!leaves_first), "{all:?}");
+            assert_eq!(started(&stage.submit(ONCE, 2)).len(), 1, "the slot is free");
+        }
+    }
+}
+
+// Guards against an end before all that is owed is answered, against one that never comes, and against two.
+#[test]
+fn the_end_comes_once_and_only_after_all_answers() {
+    for (n, s) in sites().into_iter().enumerate() {
+        let longest = s.classes.iter().map(|c| c.deadline).max().unwrap();
+        let forced = longest.min(3_000 * MS) + 700 * MS;
+        for early in [true, false] {
+            for again in [0, 1, 3] {
+                let mut stage = Stage::new(s.clone(), &["a", "b", "c"].map(hop));
+                let mut all = stage.submit(ONCE, 1);
+                if early {
+                    all.extend(stage.tell(Event::FrontsClosed));
+                }
+                all.extend(stage.tell(Event::Terminate));
+                let begin = stage.now;
+                all.extend(stage.pass(300 * MS));
+                all.extend(stage.submit(ONCE, 2));
+                for k in 0..again {
+                    all.extend(stage.tell(Event::Terminate));
+                    let discovery = Some(format!("d{k}"));
+                    all.extend(stage.tell(Event::Configured {
+                        discovery,
+                        index: None,
+                        needs_restart: vec![],
+                    }));
+                }
+                while !all.contains(&Effect::CloseFronts) {
+                    assert!(stage.now < begin + forced, "site {n}: fronts stay open");
+                    all.extend(stage.pass(5 * MS));
+                }
+                all.extend(stage.submit(SAFE, 3));
+                if !early {
+                    all.extend(stage.tell(Event::FrontsClosed));
+                }
+                let out = started(&all);
+                assert_eq!(out.len(), 3, "site {n}");
+                // What comes on connections that are open yet has its answer before the end is forced.
+                for branch in &out[..2] {
+                    assert!(!all.contains(&Effect::Exit), "site {n}: an answer is owed");
+                    all.extend(stage.ended(*branch, done()));
+                }
+                assert!(!all.contains(&Effect::Exit), "site {n}: an answer is owed");
+                all.extend(stage.pass((begin + forced).saturating_sub(stage.now)));
+                let mut told: Vec<u64> = answers(&all).into_iter().map(|a| a.0).collect();
+                told.sort_unstable();
+                assert_eq!(told, [1, 2, 3], "site {n}");
+                assert!(all.contains(&Effect::Exit), "site {n}, early {early}: it never ends");
+                all.extend(stage.tell(Event::FrontsClosed));
+                all.extend(stage.tell(Event::Terminate));
+                all.extend(stage.pass(5_000 * MS));
+                let count = |what: &Effect| all.iter().filter(|e| *e == what).count();
+                assert_eq!(count(&Effect::Exit), 1, "site {n}, early {early}, again {again}");
+                assert_eq!(count(&Effect::CloseFronts), 1, "site {n}");
+            }
+        }
+    }
+}
+
+// Guards against slots that are freed twice or never where a next hop leaves the list, or starts anew, with branches
+// out, and comes back under its name.
+#[test]
+fn a_next_hop_that_comes_back_has_what_is_out_there_and_no_more() {
+    for s in sites() {
+        for ready_at in [0, START] {
+            for ended_while_gone in [true, false] {
+                let back = NextHop { jobs: Some(2), ready_at, warm: true, ..hop("a") };
+                let mut stage = Stage::new(s.clone(), &[NextHop { ready_at: 0, ..back.clone() }]);
+                let first = started(&stage.submit(KEYED, 1))[0];
+                let second = started(&stage.submit(KEYED, 2))[0];
+                assert!(started(&stage.submit(KEYED, 3)).is_empty(), "both slots are taken");
+                assert!(started(&stage.lists(&[])).is_empty());
+                let mut all = vec![];
+                if ended_while_gone {
+                    all.extend(stage.ended(first, done()));
+                    assert!(started(&all).is_empty(), "it is gone");
+                }
+                all.extend(stage.lists(&[back]));
+                if !ended_while_gone {
+                    assert!(started(&all).is_empty(), "both are out there yet");
+                    all.extend(stage.ended(first, done()));
+                }
+                // A slot is free once, for the one that waits or the one that comes.
+                all.extend(stage.submit(KEYED, 4));
+                all.extend(stage.ended(first, Ending::Error));
+                assert_eq!(started(&all).len(), 1, "{ready_at} {ended_while_gone}: {all:?}");
+                all.extend(stage.ended(second, done()));
+                assert_eq!(started(&all).len(), 2, "{ready_at} {ended_while_gone}: {all:?}");
+            }
+        }
+    }
+}
+
+// Guards against a job that runs again as its answer was pushed out, and against no room for ever.
+#[test]
+fn without_room_for_one_more_identity_a_client_is_sent_away_for_as_long_as_the_settings_say() {
+    for s in sites() {
+        let retention = Retention { time: 1_000 * MS, entries: 2, running: 2, bytes: 100 };
+        let mut stage = Stage::keeping(s.clone(), &[hop("a"), hop("b"), hop("c")], retention);
+        let named = |ticket: u64, name: &str| {
+            let identity = Some(Identity(name.into()));
+            Transaction { identity, ..transaction(ONCE, &format!("t{ticket}"), 1_000 * MS) }
+        };
+        let out: Vec<BranchId> =
+            ["u", "v"].iter().zip(1..).flat_map(|(u, n)| started(&stage.submitted(n, named(n, u)))).collect();
+        assert_eq!(out.len(), 2);
+        assert!(busy(&s, &answers(&stage.submitted(3, named(3, "w"))), 3));
+        // One that is known has room, running or over.
+        assert!(stage.submitted(4, named(4, "u")).is_empty());
+        let told = answers(&stage.ended(out[0], done()));
+        assert_eq!(told.iter().map(|a| a.0).collect::<Vec<_>>(), [1, 4]);
+        assert_eq!(answers(&stage.submitted(5, named(5, "u"))), [(5, Answer::Served("x".into()))]);
+        assert!(busy(&s, &answers(&stage.submitted(6, named(6, "w"))), 6), "its answer is kept yet");
+        stage.now += 1_000 * MS;
+        assert_eq!(started(&stage.submitted(7, named(7, "w"))).len(), 1, "its time is over");
+    }
+}
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -424,6 +424,11 @@
         /// The request.
         request: RequestId,
     },
+    /// The time of a request is over and it has no final answer yet: one is owed at once.
+    Expired {
+        /// The request.
+        request: RequestId,
+    },
     /// A probe ended; every probe gets exactly one of these.
     Probed(Probed),
     /// The wake-up asked for by [`Action::Wake`] is due.
--- a/crates/decisions/src/policy/life.rs
+++ b/crates/decisions/src/policy/life.rs
@@ -128,7 +128,8 @@
         // Prevents: clients that were refused together come back together.
         let most = self.s.max_retry_after;
         let retry_after = self.s.retry_after.then(|| self.rng.u64(most / 2..=most));
-        out.push(match self.allowed(now, &self.m.requests[&id]).refuse {
+        let Some(r) = self.m.requests.get(&id).filter(|r| !r.answered) else { return };
+        out.push(match self.allowed(now, r).refuse {
             true => Action::Refuse { request: id, retry_after },
             false => Action::Fail { request: id },
         });
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -46,6 +46,7 @@
             Event::Outcome(e) => self.on_outcome(now, e, out),
             Event::Note(e) => self.on_note(now, e, out),
             Event::Gone { request } => self.close(request, out),
+            Event::Expired { request } => self.give_up(now, request, out),
             Event::Probed(e) => self.on_probed(now, e, out),
             Event::Wake => {
                 self.m.armed = None;
--- a/crates/decisions/tests/repeats.rs
+++ b/crates/decisions/tests/repeats.rs
@@ -146,3 +146,28 @@
         }
     }
 }
+
+// Guards against slots that are freed twice, and a job that is sent on twice, where an outcome comes twice.
+#[test]
+fn an_outcome_that_comes_twice_frees_its_slots_once() {
+    for text in SITES {
+        for status in [Status::Full, Status::ConnectFailed, Status::Error, Status::Reset, Status::Timeout] {
+            let s = Settings { probes: false, ..site(text) };
+            let mut t = Bench::new(s, &[Entry { jobs: Some(3), ..entry(0, 0) }], 4.0);
+            let ask = |t: &mut Bench, n: u64| {
+                let job = Incoming { request: RequestId(n), left: 300 * MS, ..incoming() };
+                sent(&t.event(Event::Request(job)))
+            };
+            assert!((0..3).all(|n| ask(&mut t, n) == Some(0)) && ask(&mut t, 3).is_none());
+            t.outcome(RequestId(0), 0, 0, status);
+            t.outcome(RequestId(0), 0, 0, status);
+            // It is listed as started anew, so that nothing but its slots keeps jobs from it.
+            t.event(Event::Gone { request: RequestId(0) });
+            let anew = Entry { jobs: Some(3), ready_at: START, warm: true, ..entry(0, 0) };
+            t.event(Event::List { kind: ListKind::Changes, entries: &[anew] });
+            let again = t.event(Event::Wake).iter().filter(|a| matches!(a, Action::Send { .. })).count();
+            let now: usize = (4..7).filter(|&n| ask(&mut t, n).is_some()).count();
+            assert!(again + now <= 1, "{status:?}: {again} {now}");
+        }
+    }
+}
--- a/crates/net/tests/repeats.rs
+++ b/crates/net/tests/repeats.rs
@@ -62,3 +62,16 @@
         assert_eq!(conf.settings().unwrap().connect_timeout, bound);
     }
 }
+
+// Guards against a request that came after the call to stop, found no next hop, and is answered as if it had failed.
+#[test]
+fn what_finds_no_next_hop_before_a_stop_ends_is_refused_with_advice() {
+    let mut stage = Stage::with_settings(&[], None, &SHORT.replace("3000000", "2000000"));
+    stage.stop();
+    std::thread::sleep(Duration::from_millis(700));
+    stage.go_on(
+        "c send POST /pay/k t1 2000 x\n d send POST /look/k t2 2000 x
+         c expect 503 retry-after\n d expect 503 retry-after\n c close\n d close",
+    );
+    stage.ended();
+}
