A request that comes again under its id joins the open one, and never runs past its class

By reading: submitted() answered 409 to an id that was open, though a client whose connection closed under its request sends the same one again, and may be heard before the end of the first is. And once the first had ended, the same id ran again whatever its class was: a non-idempotent job twice.

The same id with the same content (class, path, key, body) now joins the open transaction: one run, each waiting client answered, the shorter of the deadlines counts. Other content stays rejected. An id that ended (served, failed, or left) with an attempt that may have run, of a class that is not safe, is answered Failed at once for as long as its class's deadline or window; a table of 4096 at most (about 0.6 MB), which forgets first what would be forgotten next. After a busy answer or an attempt that provably never ran it may come again; safe classes run again. Where nothing may be called off an id whose attempt is still out is rejected, as it would be a second copy.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 mod kept;
 mod reducer;
 mod routes;
+mod spent;
 
 pub use kept::{Identity, Retention};
 pub use reducer::Core;
@@ -96,7 +97,7 @@
 /// Why a transaction is not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rejection {
-    /// Its id belongs to another one that is open.
+    /// Its id belongs to another one that is open, with other content.
     IdInUse,
     /// A next hop can't make anything of it.
     Unusable,
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -2,13 +2,14 @@
 
 use super::kept::{Kept, Known};
 use super::routes::RouteSet;
+use super::spent::Spent;
 use super::*;
 use pumiceway_decisions::Balancer;
 use pumiceway_decisions::api::{
     self, Action, Incoming, ListKind, Note, Outcome, Probed, Progress, RequestId,
 };
 use pumiceway_decisions::api::{Settings, SettingsError};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// A branch is not waited for up to the client's deadline, nor an answer: they must arrive before it.
 const BRANCH_MARGIN: Micros = 25_000;
@@ -44,8 +45,11 @@
     discovery: Option<String>,
     transactions: BTreeMap<RequestId, Open>,
     tickets: HashMap<Ticket, RequestId>,
-    /// Ids of transactions whose answer is owed.
-    ids: HashSet<String>,
+    /// Transactions whose answer is owed, by their ids; and ids that must not run again.
+    ids: HashMap<String, RequestId>,
+    spent: Spent,
+    /// How long that is remembered of a class; `None`: its jobs may run as often as they like.
+    spent_for: Vec<Option<Micros>>,
     branches: BTreeMap<BranchId, Branch>,
     probes: BTreeMap<u64, (WorkerId, Micros)>,
     kept: Kept,
@@ -91,6 +95,8 @@
     tickets: Vec<Ticket>,
     attempts: usize,
     out: usize,
+    /// An attempt that is over may have run.
+    ran: bool,
     answered: bool,
 }
 
@@ -102,6 +108,15 @@
     until: Micros,
 }
 
+/// For as long as a client may wait for its answer, or next hops know repeats of its job.
+fn spent_for(class: &api::Class) -> Option<Micros> {
+    match class.effect {
+        api::Effect::Safe => None,
+        api::Effect::Keyed { window, .. } => Some(class.deadline.max(window)),
+        api::Effect::Unsafe => Some(class.deadline),
+    }
+}
+
 impl Core {
     /// A core that knows no next hop yet.
     pub fn new(settings: Settings, seed: u64, retention: Retention) -> Result<Core, SettingsError> {
@@ -110,6 +125,7 @@
             distrust_until: 0,
             once: settings.classes.iter().map(|c| c.effect == api::Effect::Unsafe).collect(),
             longest: settings.classes.iter().map(|c| c.deadline).collect(),
+            spent_for: settings.classes.iter().map(spent_for).collect(),
             come_back: settings.retry_after.then_some(COME_BACK.min(settings.max_retry_after)),
             // Prevents: where all deadlines are short, the end comes before connections are closed.
             forced: FORCED_AFTER
@@ -119,7 +135,8 @@
             discovery: None,
             transactions: BTreeMap::new(),
             tickets: HashMap::new(),
-            ids: HashSet::new(),
+            ids: HashMap::new(),
+            spent: Spent::default(),
             branches: BTreeMap::new(),
             probes: BTreeMap::new(),
             kept: Kept::new(retention),
@@ -139,7 +156,7 @@
         let mut out = Vec::new();
         match event {
             Event::Submitted { ticket, transaction } => self.submitted(now, ticket, transaction, &mut out),
-            Event::Left { ticket } => self.left(ticket),
+            Event::Left { ticket } => self.left(now, ticket),
             Event::News { branch, news } => self.news(branch, news, &mut out),
             Event::Ended { branch, ending, report } => self.ended(now, branch, ending, report, &mut out),
             Event::Probed { hop, probe, status, report } => {
@@ -296,6 +313,7 @@
         let mut closed = true;
         if let Some(open) = self.transactions.get_mut(&request) {
             open.out -= 1;
+            open.ran |= !status.never_ran();
             closed = open.answered;
         }
         let latency = now.saturating_sub(sent);
@@ -312,8 +330,11 @@
     }
 
     fn forget(&mut self, request: RequestId) {
-        if self.transactions.get(&request).is_some_and(|o| o.answered && o.out == 0) {
-            self.transactions.remove(&request);
+        if self.transactions.get(&request).is_some_and(|o| o.answered && o.out == 0)
+            && let Some(open) = self.transactions.remove(&request)
+        {
+            // Prevents: where nothing may be called off, an id that comes again is out twice at once.
+            self.ids.remove(&open.job.id);
         }
     }
 
@@ -336,15 +357,6 @@
                 }
             }
         }
-        // Prevents: one client's transaction is mixed up with another's that goes under the same id.
-        if !self.ids.insert(t.job.id.clone()) {
-            let answer = Answer::Rejected(Rejection::IdInUse);
-            return out.push(Effect::Answer { ticket, answer });
-        }
-        let (request, key) = (RequestId(self.next_id()), t.job.key());
-        if let Some(identity) = &t.identity {
-            self.kept.begin(identity.clone(), request);
-        }
         // Prevents: one client that would wait for a day makes all others look as if they had waited that long.
         let left = t.left.min(self.longest.get(t.class.0).copied().unwrap_or(t.left));
         let deadline = match self.drain {
@@ -353,6 +365,18 @@
             }
             _ => now.saturating_add(left),
         };
+        if let Some(&request) = self.ids.get(&t.job.id) {
+            return self.join(request, ticket, &t, deadline, out);
+        }
+        if self.spent.holds(now, &t.job.id) {
+            let answer = Answer::Failed("it may have run before");
+            return out.push(Effect::Answer { ticket, answer });
+        }
+        let (request, key) = (RequestId(self.next_id()), t.job.key());
+        self.ids.insert(t.job.id.clone(), request);
+        if let Some(identity) = &t.identity {
+            self.kept.begin(identity.clone(), request);
+        }
         self.timers.insert((deadline.saturating_sub(ANSWER_MARGIN), Timer::Transaction(request)));
         self.tickets.insert(ticket, request);
         self.transactions.insert(
@@ -365,6 +389,7 @@
                 tickets: vec![ticket],
                 attempts: 0,
                 out: 0,
+                ran: false,
                 answered: false,
             },
         );
@@ -380,23 +405,63 @@
         }));
     }
 
+    /// An id comes again that is open.
+    fn join(
+        &mut self,
+        request: RequestId,
+        ticket: Ticket,
+        t: &Transaction,
+        deadline: Micros,
+        out: &mut Vec<Effect>,
+    ) {
+        let alone = t.identity.is_none();
+        let same = |o: &&mut Open| {
+            alone && !o.answered && o.identity.is_none() && o.class == t.class && o.job == t.job
+        };
+        // Prevents: one client's transaction is mixed up with another's that goes under the same id.
+        let Some(open) = self.transactions.get_mut(&request).filter(same) else {
+            let answer = Answer::Rejected(Rejection::IdInUse);
+            return out.push(Effect::Answer { ticket, answer });
+        };
+        // Prevents: a client whose connection was closed under its request, and that sends it once more before we
+        // hear that the first is gone, is turned down, and the job is called off with the first.
+        open.tickets.push(ticket);
+        self.tickets.insert(ticket, request);
+        // Prevents: whoever waits for less long than the first is answered too late.
+        if deadline < open.deadline {
+            let at = |deadline: Micros| (deadline.saturating_sub(ANSWER_MARGIN), Timer::Transaction(request));
+            self.timers.remove(&at(open.deadline));
+            self.timers.insert(at(deadline));
+            open.deadline = deadline;
+        }
+    }
+
     /// Without an identity nobody can ask for the answer any more; with one, the job goes on for whoever
     /// hands it in again.
-    fn left(&mut self, ticket: Ticket) {
+    fn left(&mut self, now: Micros, ticket: Ticket) {
         let Some(request) = self.tickets.remove(&ticket) else { return };
         let Some(open) = self.transactions.get_mut(&request) else { return };
         open.tickets.retain(|t| *t != ticket);
         if open.tickets.is_empty() && open.identity.is_none() && !open.answered {
+            self.spend(now, request);
             self.end(request);
             self.tell(api::Event::Gone { request });
         }
     }
 
+    /// The transaction is over: if it may have run, and its class may not at will, its id doesn't run again.
+    fn spend(&mut self, now: Micros, request: RequestId) {
+        let Some(open) = self.transactions.get(&request).filter(|o| o.identity.is_none()) else { return };
+        let time = self.spent_for.get(open.class.0).copied().flatten();
+        if let Some(time) = time.filter(|_| open.ran || open.out > 0) {
+            self.spent.keep(now + time, &open.job.id);
+        }
+    }
+
     /// No answer is owed for the transaction any more.
     fn end(&mut self, request: RequestId) {
         if let Some(open) = self.transactions.get_mut(&request) {
             open.answered = true;
-            self.ids.remove(&open.job.id);
             self.timers.remove(&(open.deadline.saturating_sub(ANSWER_MARGIN), Timer::Transaction(request)));
         }
         self.forget(request);
@@ -411,6 +476,10 @@
             self.tickets.remove(&ticket);
             out.push(Effect::Answer { ticket, answer: answer.clone() });
         }
+        // After the other answers trying again is harmless.
+        if matches!(answer, Answer::Served(_) | Answer::Failed(_)) {
+            self.spend(now, request);
+        }
         self.end(request);
     }
 
--- a/crates/core/tests/ends.rs
+++ b/crates/core/tests/ends.rs
@@ -201,6 +201,153 @@
     }
 }
 
+// Guards against a client that is turned down, or has its job run twice, as it came again on a new connection before
+// the end of its first one was heard: in either order there is one run, and who still waits is answered.
+#[test]
+fn the_same_request_again_joins_the_one_that_is_open() {
+    for s in sites() {
+        for class in [SAFE, KEYED, ONCE] {
+            for leaves in [None, Some(1), Some(2)] {
+                let mut stage = Stage::new(s.clone(), &[hop("a"), hop("b")]);
+                let left = s.classes[class].deadline;
+                let branch = started(&stage.submit_as(class, 1, "t", left))[0];
+                let mut all = stage.submit_as(class, 2, "t", left);
+                leaves.into_iter().for_each(|ticket| all.extend(stage.left(ticket)));
+                assert!(started(&all).is_empty() && answers(&all).is_empty(), "{class} {leaves:?}: {all:?}");
+                assert!(!all.contains(&Effect::Cut { branch }), "{all:?}");
+                let told: Vec<u64> = answers(&stage.ended(branch, done()))
+                    .into_iter()
+                    .map(|(ticket, answer)| {
+                        assert_eq!(answer, Answer::Served("x".into()));
+                        ticket
+                    })
+                    .collect();
+                let waits: Vec<u64> = [1, 2].into_iter().filter(|t| Some(*t) != leaves).collect();
+                assert_eq!(told, waits, "{class} {leaves:?}");
+                // Once all have left it is called off where it may be.
+                let branch = started(&stage.submit_as(class, 3, "u", left))[0];
+                stage.submit_as(class, 4, "u", left);
+                assert!(!stage.left(4).contains(&Effect::Cut { branch }));
+                assert_eq!(stage.left(3).contains(&Effect::Cut { branch }), s.cancel);
+            }
+        }
+    }
+}
+
+// Guards against one client's job that is taken for another's.
+#[test]
+fn an_open_id_with_other_content_is_rejected() {
+    let s = &sites()[2];
+    let first = transaction(KEYED, "t", 9_000 * MS);
+    let job = |change: fn(&mut Job)| {
+        let mut job = (*first.job).clone();
+        change(&mut job);
+        Transaction { job: Arc::new(job), ..first.clone() }
+    };
+    for other in [
+        Transaction { class: ClassId(ONCE), ..first.clone() },
+        Transaction { identity: Some(Identity("u".into())), ..first.clone() },
+        job(|j| j.path = "/c1/l".into()),
+        job(|j| j.repeat_key = None),
+        job(|j| j.body = "x".into()),
+    ] {
+        let mut stage = Stage::new(s.clone(), &[hop("a"), hop("b")]);
+        let branch = started(&stage.submitted(1, first.clone()))[0];
+        let all = stage.submitted(2, other);
+        assert_eq!(answers(&all), [(2, Answer::Rejected(Rejection::IdInUse))]);
+        assert!(started(&all).is_empty() && stage.left(2).is_empty());
+        assert_eq!(answers(&stage.ended(branch, done())), [(1, Answer::Served("x".into()))]);
+    }
+}
+
+// Guards against an answer after its time for one that joined and waits for less long than the first.
+#[test]
+fn one_that_joins_is_answered_within_its_own_time() {
+    for (first, second) in [(9_000, 1_000), (1_000, 9_000)] {
+        let mut stage = Stage::new(sites()[2].clone(), &[hop("a")]);
+        stage.submit_as(ONCE, 1, "t", first * MS);
+        stage.submit_as(ONCE, 2, "t", second * MS);
+        let all = stage.pass(990 * MS);
+        assert_eq!(answers(&all).iter().map(|a| a.0).collect::<Vec<_>>(), [1, 2], "{all:?}");
+        assert!(answers(&stage.pass(9_000 * MS)).is_empty());
+    }
+}
+
+// Guards against a job that runs twice as its client's first connection was found closed before it came again.
+#[test]
+fn an_id_that_may_have_run_runs_again_only_where_its_class_may() {
+    let ends = [
+        (None, true),
+        (Some(Ending::Error), true),
+        (Some(done()), true),
+        (Some(Ending::NotConnected), false),
+        (Some(Ending::TurnedAway), false),
+        (Some(Ending::Unusable), false),
+    ];
+    for (n, s) in sites().into_iter().enumerate() {
+        for class in [SAFE, KEYED, ONCE] {
+            for (ending, ran) in ends.clone() {
+                let mut stage = Stage::new(s.clone(), &[hop("a")]);
+                let left = s.classes[class].deadline;
+                let branch = started(&stage.submit_as(class, 1, "t", left))[0];
+                let mut over = vec![];
+                if let Some(ending) = ending.clone() {
+                    over = stage.ended(branch, ending);
+                    // If it waits for another next hop, its client leaves.
+                    assert!(started(&over).is_empty(), "there is no other");
+                    stage.left(1);
+                    stage.lists(&[hop("b")]);
+                } else {
+                    over.extend(stage.left(1));
+                }
+                // What was refused may come again whatever its class is.
+                let refused = matches!(answers(&over)[..], [(1, Answer::Busy { .. })]);
+                let again = stage.submit_as(class, 2, "t", left);
+                let what = format!("site {n}, class {class}, {ending:?}: {again:?}");
+                let out = ending.is_none() && !s.cancel;
+                match class {
+                    // Where nothing may be called off the first is still out: it is not sent a second time.
+                    _ if out => assert!(started(&again).is_empty() && answers(&again).len() == 1, "{what}"),
+                    SAFE => assert_eq!(started(&again).len(), 1, "{what}"),
+                    _ if refused || !ran => assert_eq!(started(&again).len(), 1, "{what}"),
+                    _ => {
+                        assert!(started(&again).is_empty(), "{what}");
+                        assert!(matches!(answers(&again)[..], [(2, Answer::Failed(_))]), "{what}");
+                    }
+                }
+            }
+        }
+    }
+}
+
+// Guards against memory that grows with every job, and against forgetting what has only just run.
+#[test]
+fn ids_that_may_not_run_again_are_kept_for_their_time_and_so_many_at_most() {
+    let s = &sites()[2];
+    let mut stage = Stage::new(s.clone(), &[hop("a")]);
+    let spend = |stage: &mut Stage, ticket: u64| {
+        let branch = started(&stage.submit(ONCE, ticket))[0];
+        stage.ended(branch, done());
+        // Each ends at a time of its own.
+        stage.now += 1;
+    };
+    let runs = |stage: &mut Stage, id: &str| {
+        let all = stage.submit_as(ONCE, 1_000_000, id, 9_000 * MS);
+        stage.left(1_000_000);
+        !started(&all).is_empty()
+    };
+    spend(&mut stage, 1);
+    stage.pass(19_990 * MS);
+    assert!(!runs(&mut stage, "t1"));
+    stage.pass(20 * MS);
+    assert!(runs(&mut stage, "t1"));
+    for ticket in 2..=4_200 {
+        spend(&mut stage, ticket);
+    }
+    assert!(!runs(&mut stage, "t4200") && !runs(&mut stage, "t200"));
+    assert!(runs(&mut stage, "t2"), "the oldest is forgotten");
+}
+
 // Guards against a job that is sent on after its client left, whatever it waited for and whatever comes with its
 // leaving; and against one of many that is overlooked.
 #[test]
--- a/crates/net/tests/repeats.rs
+++ b/crates/net/tests/repeats.rs
@@ -63,6 +63,56 @@
     }
 }
 
+fn pay(id: &str) -> String {
+    format!("POST /pay/k {id} 2900 x")
+}
+
+// Guards against a client that comes again on a new connection while its first request is open, and is turned down or
+// has its job run twice. What another client sent after it has reached a next hop, so it has been heard.
+#[test]
+fn the_same_request_on_a_second_connection_gets_the_answer_of_the_first() {
+    for leaves in [false, true] {
+        let mut stage = Stage::with_settings(&["w1", "w2"], None, SHORT);
+        stage.go_on(&format!(
+            "c send {}\n w1 wait a\n a expect POST /pay/k t1\n d send {}
+             e send {}\n w2 wait b\n b expect POST /pay/k t2",
+            pay("t1"),
+            pay("t1"),
+            pay("t2")
+        ));
+        if leaves {
+            stage.go_on("c close");
+        }
+        stage.go_on("a send done 1\n d expect 200 1\n b send done 2\n e expect 200 2");
+        if !leaves {
+            stage.go_on("c expect 200 1");
+        }
+    }
+}
+
+// Guards against a job that runs twice as its client comes again after its first connection was found closed: the
+// next hop has seen the branch called off by then. One that may run again does.
+#[test]
+fn a_request_that_comes_again_after_it_was_called_off_runs_only_where_it_may() {
+    for (path, again) in [("pay", false), ("look", true)] {
+        let mut stage = Stage::with_settings(&["w1", "w2"], None, SHORT);
+        let send = |id: &str| format!("POST /{path}/k {id} 2900 x");
+        stage.go_on(&format!(
+            "c send {}\n w1 wait a\n a expect POST /{path}/k t1\n c close\n a expect end\n d send {}",
+            send("t1"),
+            send("t1")
+        ));
+        let id = match again {
+            true => "t1",
+            false => {
+                stage.go_on(&format!("d expect 502\n d send {}", send("t2")));
+                "t2"
+            }
+        };
+        stage.go_on(&format!("w1 wait b\n b expect POST /{path}/k {id}\n b send done 1\n d expect 200 1"));
+    }
+}
+
 // Guards against a request that came after the call to stop, found no next hop, and is answered as if it had failed.
 #[test]
 fn what_finds_no_next_hop_before_a_stop_ends_is_refused_with_advice() {
