Test: nothing is written on a connection that comes up after a drain's grace

A next hop whose accept queue is full is told to drain while a connection to it is on its way (seen as SYN_SENT); then its queue is emptied and the system tries again after a second. The bound of half the grace holds that: nothing comes, at a grace of 0.1 and 0.5 s.

--- a/crates/decisions/src/policy/validity.rs
+++ b/crates/decisions/src/policy/validity.rs
@@ -28,7 +28,7 @@
         let (refuse, resend, within) = match (doubtful.next(), self.s.classes[r.class.0].effect) {
             (None, _) | (_, Effect::Safe) => (true, more, None),
             (_, Effect::Unsafe) => (false, false, None),
-            // Prevents: a repeat decided in the window arrives after it, on a connection that was slow to come up.
+            // Prevents: a repeat decided in the window arrives after it, on a connection that comes up late.
             (Some(first), Effect::Keyed { group, window }) => {
                 let in_time = now + self.s.connect_timeout < first.sent + window;
                 (group == Group::All, more && in_time, Some((group, *first)))
--- a/crates/net/tests/repeats.rs
+++ b/crates/net/tests/repeats.rs
@@ -3,7 +3,9 @@
 use pumiceway_net::config::Sockets;
 use pumiceway_net::hop::Keeping;
 use pumiceway_rig::Stage;
-use std::time::Duration;
+use std::io::Read;
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
 
 /// A class of each effect; a window as short as they come, of which a connection may take a part to come up.
 const SHORT: &str = r#"{"zones":["z"],"my-zone":"z","kinds":["k"],"resolution-us":1000,
@@ -125,3 +127,76 @@
     );
     stage.ended();
 }
+
+/// A listener whose queue is full: a connection to it comes up a second later, if the queue is emptied meanwhile.
+fn full() -> (TcpListener, Vec<TcpStream>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let listener = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        socket.listen(0).unwrap().into_std().unwrap()
+    });
+    let address = listener.local_addr().unwrap();
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+    let queue = std::iter::from_fn(connect).collect();
+    (listener, queue)
+}
+
+/// Whether a connection to this port is on its way.
+fn comes_up(port: u16) -> bool {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    table.lines().any(|line| {
+        line.split_whitespace().skip(2).take(2).eq([format!("0100007F:{port:04X}").as_str(), "02"])
+    })
+}
+
+// Guards against a request that is written to a next hop long after it was told to drain, as its connection was on its
+// way then: the queue of the next hop is full, and is emptied once it has been told.
+#[test]
+fn nothing_is_written_on_a_connection_that_comes_up_after_the_grace() {
+    for grace in [100_000, 500_000] {
+        let settings = SHORT
+            .replace("\"connect-timeout-us\":400000", "\"connect-timeout-us\":1500000")
+            .replace("\"rules\":{}", &format!("\"rules\":{{\"drain-grace-us\":{grace}}}"));
+        let mut stage = Stage::with_settings(&["discovery"], None, &settings);
+        let (listener, queue) = full();
+        let port = listener.local_addr().unwrap().port();
+        let line = |index, status| {
+            format!(
+                r#"d send + {{"index":{index},"snapshot":{},"endpoints":[{{"name":"w9","address":"127.0.0.1:{port}","zone":"z","type":"k","status":"{status}"}}]}}"#,
+                index == 2
+            )
+        };
+        stage.go_on(&format!(
+            "discovery wait d\n d expect GET /api/targets\n d send 200\n {}",
+            line(2, "ready")
+        ));
+        stage.until_listed("w9", "Ready");
+        // One after the other, should its connection have been given up before we looked.
+        let (begin, mut asked) = (Instant::now(), 0);
+        while !comes_up(port) {
+            if begin.elapsed() >= Duration::from_millis(400 * asked) {
+                stage.go_on(&format!("c{asked} send POST /look/k t{asked} 2900 x"));
+                asked += 1;
+            }
+            assert!(asked < 10, "no branch goes out");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        stage.go_on(&line(3, "draining"));
+        stage.until_listed("w9", "Draining");
+        drop(queue);
+        // What comes up within the grace may be used; the system tries again after a second.
+        listener.set_nonblocking(true).unwrap();
+        let end = Instant::now() + Duration::from_millis(1_400);
+        while Instant::now() < end {
+            if let Ok((mut stream, _)) = listener.accept() {
+                stream.set_nonblocking(false).unwrap();
+                stream.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+                let mut part = [0; 256];
+                let read = stream.read(&mut part).unwrap_or(0);
+                assert_eq!(read, 0, "grace {grace}: {:?}", String::from_utf8_lossy(&part[..read]));
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+}
