--- a/crates/net/src/hop/tests.rs
+++ b/crates/net/src/hop/tests.rs
@@ -86,7 +86,7 @@
     });
     let (tell, ends) = std::sync::mpsc::channel();
     let limit = Duration::from_secs(2);
-    let keeping = Keeping { connect: limit, idle: limit, probe: limit, most_outbound: 640 };
+    let keeping = Keeping { connect: limit, idle: limit, probe: limit, most_idle: 2 };
     let report = Report {
         in_flight: Some(7.0),
         waiting: Some(2.0),
@@ -129,7 +129,7 @@
     let (connect, idle) = (Duration::from_secs(2), Duration::from_secs(2));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
-        let hop = Hop::new(&address, Keeping { connect, idle, probe: PROBE, most_outbound: 640 });
+        let hop = Hop::new(&address, Keeping { connect, idle, probe: PROBE, most_idle: 2 });
         for _ in 0..2 {
             let (status, report) = hop.probe().await;
             assert_eq!((status, report.and_then(|r| r.free_slots)), (Status::Ok, Some(2.0)));
@@ -234,7 +234,7 @@
 }
 
 fn hop(address: &str) -> Hop {
-    Hop::new(address, Keeping { connect: SOON, idle: SOON, probe: SOON, most_outbound: 640 })
+    Hop::new(address, Keeping { connect: SOON, idle: SOON, probe: SOON, most_idle: 2 })
 }
 
 fn play(test: impl Future<Output = ()>) {
@@ -738,7 +738,7 @@
         let address = listener.local_addr().unwrap().to_string();
         play(async {
             let hop =
-                Hop::new(&address, Keeping { connect: patience, idle: SOON, probe: SOON, most_outbound: 640 });
+                Hop::new(&address, Keeping { connect: patience, idle: SOON, probe: SOON, most_idle: 2 });
             let out = Out::start(&hop, &job("a", 9), false);
             settle().await;
             if patience == SOON {
@@ -854,7 +854,7 @@
             play(async {
                 // One that floods is cut off by its size, one that is given up by its end.
                 let limit = if floods || given_up { SOON } else { PROBE };
-                let keeping = Keeping { connect: SOON, idle: SOON, probe: limit, most_outbound: 640 };
+                let keeping = Keeping { connect: SOON, idle: SOON, probe: limit, most_idle: 2 };
                 let hop = Hop::new(&seen.address, keeping);
                 let mut probe = Box::pin(hop.probe());
                 if given_up {
