Shell: an alarm that news sets anew while it goes off is not lost; a last word waits for nothing

One connection followed: 'answers 200' at 12.306 s, the next request at 12.384 s, its client's end at 12.976 s, 592 ms later, its time over and no answer. Ruled out: reads of nothing (read again: still the end), readiness, descriptors (187 of 672). Lines at fault, both of this work: shell.rs, what was heard was taken in and then the alarm cleared, which that had just set anew; so nothing was due until the next news. The core now also counts an alarm as gone once it has gone off, and sets it again. admission.rs close: the last word waited until the socket had been looked at, and a place that was wanted at once went without it.

--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -177,7 +177,11 @@
                     out.push(Effect::WatchAt { address, index });
                 }
             }
-            Event::Due => self.due(now, &mut out),
+            Event::Due => {
+                // It has gone off. Prevents: it is taken for set, and nothing is due any more until the next news.
+                self.alarm = None;
+                self.due(now, &mut out);
+            }
             Event::Terminate if self.drain == Drain::Serving => {
                 self.drain = Drain::Crossing { since: now };
                 let serves = self.forced.saturating_sub(STOP_CLOSES).max(CROSSING);
--- a/crates/net/src/front/admission.rs
+++ b/crates/net/src/front/admission.rs
@@ -326,13 +326,14 @@
 /// read after the end of our sending is sent on, though no answer can come back.
 pub async fn close(stream: &TcpStream, seat: &Seat, last_word: Option<&str>) {
     seat.go(At::Closing);
-    let ending = async {
-        if let Some(text) = last_word {
-            // Where not even this can be written, the client reads nothing.
-            let _ = stream.writable().await;
-            let _ = stream.try_write(text.as_bytes());
-        }
-        let _ = SockRef::from(stream).shutdown(Shutdown::Write);
+    let socket = SockRef::from(stream);
+    if let Some(text) = last_word {
+        // Where not even this can be written, the client reads nothing. It is no matter of waiting: the socket may not
+        // have been looked at yet, and its place may be wanted at once.
+        let _ = socket.send(text.as_bytes());
+    }
+    let _ = socket.shutdown(Shutdown::Write);
+    let drained = async {
         let mut part = [0; 16 << 10];
         while stream.readable().await.is_ok() {
             match stream.try_read(&mut part) {
@@ -344,7 +345,7 @@
         }
     };
     tokio::select! {
-        () = ending => {}
+        () = drained => {}
         () = sleep_until(seat.due()) => {}
         () = seat.told_to_leave(Leave::AtOnce) => {}
     }
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -248,12 +248,8 @@
                     shell.feed(Event::Configured { discovery, index: None, needs_restart });
                 }
                 () = due, if alarm.is_some() => {
-                    // Prevents: an answer that has come, or a client's leaving, is found after the time-out or the send
-                    // that it would have made needless.
                     batch.extend(std::iter::from_fn(|| heard.try_recv().ok()).take(BATCH));
-                    shell.take(&mut batch);
-                    shell.alarm = None;
-                    shell.feed(Event::Due);
+                    shell.due(&mut batch);
                 }
                 () = stop.as_mut(), if !stopping => {
                     stopping = true;
@@ -266,6 +262,15 @@
 }
 
 impl Shell {
+    /// The alarm has gone off, with this heard until now. Prevents: an answer that has come, or a client's leaving, is
+    /// found after the time-out or the send that it would have made needless.
+    fn due(&mut self, batch: &mut Vec<Heard>) {
+        // First: what was heard may set it anew.
+        self.alarm = None;
+        self.take(batch);
+        self.feed(Event::Due);
+    }
+
     /// Takes in what was heard, in order, but for clients that have left while they waited: that comes first.
     ///
     /// Prevents: in a burst a job is sent on for a client whose leaving is known and waits behind other news.
--- a/crates/net/src/shell/tests/sockets.rs
+++ b/crates/net/src/shell/tests/sockets.rs
@@ -211,3 +211,21 @@
         assert!(shell.branches.is_empty());
     });
 }
+
+// Guards against an alarm that is lost where something heard along with it sets the next one: nothing was due any more
+// until the next news, and clients had no answer in their time.
+#[test]
+fn what_is_heard_along_with_an_alarm_sets_the_next_one() {
+    let hops = listeners::<0>();
+    let (mut shell, _heard) = shell(8, &hops.each_ref());
+    let mut answers = Vec::new();
+    for n in 0..3 {
+        let (mut waiting, answered) = handed_in(n);
+        if let Heard::Waiting { transaction, .. } = &mut waiting {
+            transaction.left = 3_000_000 - 500_000 * n;
+        }
+        shell.due(&mut vec![waiting]);
+        assert!(shell.alarm.is_some(), "{n}: nothing is ever due");
+        answers.push(answered);
+    }
+}
