--- a/crates/pumiceway/tests/command.rs
+++ b/crates/pumiceway/tests/command.rs
@@ -159,3 +159,52 @@
     assert!(child.wait().unwrap().success());
     std::fs::remove_file(config).unwrap();
 }
+
+// Guards against a second signal, or a hang-up in the middle of a stop, that ends the program with a job in flight; and
+// against one that does not end once that is answered.
+#[test]
+fn signals_in_the_middle_of_a_stop_take_no_answer_along() {
+    use std::io::{BufRead, BufReader, Read, Write};
+    use std::net::{TcpListener, TcpStream};
+    let worker = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = worker.local_addr().unwrap();
+    let line = format!(r#"{{"name":"w1","address":"{address}","zone":"z","type":"k","status":"ready"}}"#);
+    let text = format!(
+        r#"{{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","known":{{"index":1,"snapshot":true,"endpoints":[{line}]}},
+          "settings":{SETTINGS}}}"#
+    );
+    let config = file("signals.json", &text);
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pumiceway"))
+        .arg("serve")
+        .env_clear()
+        .env("ROUTER_CONFIG", &config)
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    give_up_on(child.id());
+    let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+    let listens =
+        log.find_map(|line| line.unwrap().split_once("address=").map(|(_, a)| a.to_owned())).unwrap();
+    std::thread::spawn(move || log.for_each(drop));
+    let mut client = TcpStream::connect(listens.trim()).unwrap();
+    let head = "POST /booking-import/k HTTP/1.1\r\nX-Txn: t1\r\nX-Remaining-Ms: 5000\r\n";
+    client.write_all(format!("{head}Content-Length: 1\r\n\r\nx").as_bytes()).unwrap();
+    let mut job = worker.accept().unwrap().0;
+    let mut asked = [0; 4096];
+    let n = job.read(&mut asked).unwrap();
+    assert!(String::from_utf8_lossy(&asked[..n]).contains("x-txn: t1"));
+    let signal = child.id().to_string();
+    for name in ["-TERM", "-HUP", "-TERM", "-INT", "-HUP"] {
+        assert!(Command::new("kill").args([name, &signal]).status().unwrap().success());
+    }
+    // The connection that the client has stays open until its answer, and is closed after it.
+    let line = "{\"id\":\"t1\",\"from\":\"w1\",\"state\":\"done\",\"result\":\"in\"}\n";
+    let length = line.len();
+    let answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    job.write_all(format!("{answer}{length:x}\r\n{line}\r\n0\r\n\r\n").as_bytes()).unwrap();
+    let mut text = String::new();
+    client.read_to_string(&mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 200") && text.ends_with("\r\n\r\nin"), "{text}");
+    assert!(child.wait().unwrap().success());
+    std::fs::remove_file(config).unwrap();
+}
