Next hops: what could not be written in the time of its connection is not written at all

A time-out polls what it bounds first, so a stall voids the bound: what is written then may go to a next hop that drains by now, or after the window for repeats. Line at fault: hop/line.rs Connector::call, whose bound is on the connection alone. Now the request's body knows by when it may be written (that bound and 25 ms from the decision on), and lets not a byte go later; the attempt counts as not tried, which blames nobody. Ruled out: the bound in the decisions, which holds where nothing stands still.

--- a/crates/net/src/hop/letter.rs
+++ b/crates/net/src/hop/letter.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use tokio::time::Instant;
 
 /// A body in one piece. hyper takes it in, and lets it go at once if it is empty, when it has put the head into its
 /// buffer and has yet to write any of it: at that moment the branch gets its number on the connection.
@@ -13,21 +14,29 @@
 pub struct Letter {
     content: Option<Bytes>,
     of: Option<Branch>,
+    latest: Option<Instant>,
 }
 
 impl Letter {
-    /// The body of a branch's request.
-    pub fn new(content: Bytes, of: Branch) -> Letter {
-        Letter { content: Some(content).filter(|c| !c.is_empty()), of: Some(of) }
+    /// The body of a branch's request, that is written by then or not at all.
+    pub fn new(content: Bytes, of: Branch, latest: Option<Instant>) -> Letter {
+        Letter { content: Some(content).filter(|c| !c.is_empty()), of: Some(of), latest }
     }
 
-    /// Prevents: the request of a branch that is over is written to a connection that came up too late for it.
+    /// Prevents: the request of a branch that is over is written to a connection that came up too late for it; and, where
+    /// the program stood still in between, one is written to a next hop that drains by now, or after the window for
+    /// repeats.
     fn begin(&mut self) -> io::Result<()> {
         match self.of.take() {
             Some(of) if of.over() => {
                 of.close();
                 Err(io::ErrorKind::ConnectionAborted.into())
             }
+            Some(of) if self.latest.is_some_and(|latest| Instant::now() > latest) => {
+                of.is_late();
+                of.close();
+                Err(io::ErrorKind::TimedOut.into())
+            }
             Some(of) => {
                 of.begin();
                 Ok(())
--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -41,6 +41,9 @@
 const TAIL: Duration = Duration::from_millis(500);
 const TAIL_MOST: usize = 64 << 10;
 
+/// What a branch may take on top of its connection's time until it is written; a coarse timer, not a wait.
+const LATE: Duration = Duration::from_millis(25);
+
 /// How connections to next hops are kept.
 #[derive(Clone, Copy, Debug)]
 pub struct Keeping {
@@ -77,6 +80,7 @@
     /// Opens a connection for each request.
     fresh: Client<Connector, Letter>,
     address: String,
+    connect: Duration,
     probe: Duration,
 }
 
@@ -128,6 +132,8 @@
     over: AtomicBool,
     /// Its request's number on its connection; 0 before that is written.
     turn: AtomicU64,
+    /// Its time to be written was over before it could be.
+    late: AtomicBool,
 }
 
 impl Branch {
@@ -197,6 +203,12 @@
     }
 }
 
+impl Branch {
+    fn is_late(&self) {
+        self.course.late.store(true, Ordering::Relaxed);
+    }
+}
+
 /// A probe that is out; given up, its connection is closed.
 struct Ask(Branch);
 
@@ -227,6 +239,7 @@
             client: client(keeping.most_idle),
             fresh: client(0),
             address: address.to_owned(),
+            connect: keeping.connect,
             probe: keeping.probe,
         }
     }
@@ -252,7 +265,9 @@
             request.headers_mut().insert("idempotency-key", HeaderValue::from_str(key)?);
         }
         let branch = Branch::new(&mut request);
-        *request.body_mut() = Letter::new(job.body.clone(), branch.clone());
+        // Its connection may take so long to come up, and all of it no longer.
+        let latest = Instant::now() + self.connect + LATE;
+        *request.body_mut() = Letter::new(job.body.clone(), branch.clone(), Some(latest));
         let client = if fresh { self.fresh.clone() } else { self.client.clone() };
         let (id, of) = (job.id.clone(), branch.clone());
         let address = self.address.clone();
@@ -308,7 +323,7 @@
         let request = Request::get(format!("http://{}/-/load", self.address)).body(Letter::default());
         let Ok(mut request) = request else { return (Status::ConnectFailed, false, None) };
         let ask = Ask(Branch::new(&mut request));
-        *request.body_mut() = Letter::new(Bytes::new(), ask.0.clone());
+        *request.body_mut() = Letter::new(Bytes::new(), ask.0.clone(), None);
         let answer = match client.request(request).await {
             Ok(answer) => answer,
             Err(e) if e.is_connect() => return (Status::ConnectFailed, false, None),
@@ -430,6 +445,8 @@
         source = e.source();
     }
     match unwritten {
+        // We stood still: that says nothing of the next hop.
+        _ if branch.course.late.load(Ordering::Relaxed) => Ending::NotTried,
         true => Ending::NotConnected,
         false if branch.kept() => Ending::KeptReset,
         false => Ending::Reset,
--- a/crates/net/src/hop/tests.rs
+++ b/crates/net/src/hop/tests.rs
@@ -878,3 +878,49 @@
         }
     }
 }
+
+// Guards against a request that is written after its time to be, as the program stood still: to a next hop that drains by
+// now, or after the window for its repeats; on a connection that comes up then, or on a kept one. It says nothing of the
+// next hop.
+#[test]
+fn what_could_not_be_written_in_its_time_is_not_written_at_all() {
+    use std::io::{ErrorKind, Read, Write};
+    for (kept, body) in [(false, 0), (false, 9), (true, 0), (true, 9)] {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let connect = Duration::from_millis(20);
+        let hop = Hop::new(&address, Keeping { connect, idle: SOON, probe: SOON, most_idle: 2 });
+        play(async {
+            let mut stream = None;
+            if kept {
+                let first = Out::start(&hop, &job("t0", body), false);
+                settle().await;
+                let mut accepted = listener.accept().unwrap().0;
+                assert!(accepted.read(&mut [0; 4096]).unwrap() > 0);
+                accepted.write_all(done("t0").as_bytes()).unwrap();
+                while first.ends.try_recv().is_err() {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+                settle().await;
+                stream = Some(accepted);
+            }
+            let late = Out::start(&hop, &job("t1", body), false);
+            // Nothing runs meanwhile.
+            std::thread::sleep(connect + LATE + Duration::from_millis(20));
+            let mut end = late.ends.try_recv();
+            for _ in 0..2_000 {
+                if end.is_err() {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                    end = late.ends.try_recv();
+                }
+            }
+            assert_eq!(end.map(|(end, _)| end), Ok(Ending::NotTried), "{kept} {body}");
+            let mut stream = stream.unwrap_or_else(|| listener.accept().unwrap().0);
+            stream.set_read_timeout(Some(SOON)).unwrap();
+            let came = stream.read(&mut [0; 4096]);
+            let nothing = matches!(&came, Ok(0))
+                || came.as_ref().is_err_and(|e| e.kind() == ErrorKind::ConnectionReset);
+            assert!(nothing, "{kept} {body}: {came:?}");
+        });
+    }
+}
