Front: last words are worded in one place, and a look for the end costs no cleared buffer

Two last words repeated the advice to come back and counted their own length by hand; one function words both now. Seat::poll_gone cleared 16 KiB at each poll of each connection, whatever it was at; it does so only once there is something to read.

--- a/crates/net/src/front/admission.rs
+++ b/crates/net/src/front/admission.rs
@@ -153,11 +153,15 @@
 
     /// What is still owed to the client when we end its connection now: a busy answer where it goes to make room or
     /// with the process, and word that its request took too long where it does so for our patience.
-    pub fn owed(&self, end: End) -> Option<&'static str> {
+    pub fn owed(&self, end: End) -> Option<String> {
         let state = self.state();
         match (end, state.at) {
-            (End::Impatient, At::First | At::Reading) if state.message.come > 0 => Some(TOO_SLOW),
-            (End::Wanted | End::Stopping, At::First | At::Reading) => Some(BUSY),
+            (End::Impatient, At::First | At::Reading) if state.message.come > 0 => {
+                Some(last_word("408 Request Timeout", "", "the request took too long"))
+            }
+            (End::Wanted | End::Stopping, At::First | At::Reading) => {
+                Some(last_word("503 Service Unavailable", &format!("retry-after: {COME_BACK}\r\n"), ""))
+            }
             _ => None,
         }
     }
@@ -167,12 +171,10 @@
     /// Prevents: a client that sends something behind its request, and goes, is not noticed, as the parser reads no
     /// further while it has bytes that it can't use yet.
     pub fn poll_gone(&self, stream: &TcpStream, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let mut part = [0; 16 << 10];
-        loop {
-            if self.state().at != At::Holding {
-                return Poll::Pending;
-            }
+        while self.state().at == At::Holding {
             ready!(stream.poll_read_ready(cx))?;
+            // Only here, as each poll of a connection comes by, and hardly any finds something to read.
+            let mut part = [0; 16 << 10];
             match stream.try_read(&mut part) {
                 Ok(0) => return Poll::Ready(Ok(())),
                 Ok(n) => self.unasked(n)?,
@@ -180,6 +182,7 @@
                 Err(e) => return Poll::Ready(Err(e)),
             }
         }
+        Poll::Pending
     }
 
     fn unasked(&self, n: usize) -> io::Result<()> {
@@ -314,17 +317,18 @@
 /// Advice to come back where too many connections are open, in seconds.
 pub const COME_BACK: &str = "1";
 
-/// What a connection gets that there is no room to read a request of, or no time.
-const BUSY: &str =
-    "HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
-/// What one gets whose request does not come to its end.
-const TOO_SLOW: &str = "HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 25\r\n\r\nthe request took too long";
+/// An answer that no parser makes any more, as the last thing on a connection.
+fn last_word(status: &str, header: &str, text: &str) -> String {
+    let length = text.len();
+    format!("HTTP/1.1 {status}\r\n{header}connection: close\r\ncontent-length: {length}\r\n\r\n{text}")
+}
 
-/// Closes a connection whose parser has let go of it: a last word, the end of our sending, and then whatever the client still sends is read and thrown away until it has closed too.
+/// Closes a connection whose parser has let go of it: a last word, the end of our sending, and then whatever the client
+/// still sends is read and thrown away until it has closed too.
 ///
 /// Prevents: a close over unread bytes resets the connection, and the answer is lost before it is read; and what is
 /// read after the end of our sending is sent on, though no answer can come back.
-pub async fn close(stream: &TcpStream, seat: &Seat, last_word: Option<&str>) {
+pub async fn close(stream: &TcpStream, seat: &Seat, last_word: Option<String>) {
     seat.go(At::Closing);
     let socket = SockRef::from(stream);
     if let Some(text) = last_word {
