Shell, next hops: made in one place each, by the program as by its tests

The fields of the shell were listed three times, once in the program and twice in its tests: Shell::new. Hop::new served tests alone beside Hop::sharing; it takes the sockets that are shared now. Branch had a second impl block and a setter named like a question. The shell's two test files share how a job is handed in, and the tests of the program how it is started. Behaviour is as before and no assertion is changed; whole workspace tests pass.

--- a/crates/net/src/hop/letter.rs
+++ b/crates/net/src/hop/letter.rs
@@ -33,7 +33,7 @@
                 Err(io::ErrorKind::ConnectionAborted.into())
             }
             Some(of) if self.latest.is_some_and(|latest| Instant::now() > latest) => {
-                of.is_late();
+                of.set_late();
                 of.close();
                 Err(io::ErrorKind::TimedOut.into())
             }
--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    /// Its time to be written is over.
+    fn set_late(&self) {
+        self.course.late.store(true, Ordering::Relaxed);
+    }
+
     /// Its connection was closed with not a byte of its request written.
     fn never_wrote(&self) -> bool {
         let turn = self.course.turn.load(Ordering::Relaxed);
@@ -203,12 +208,6 @@
     }
 }
 
-impl Branch {
-    fn is_late(&self) {
-        self.course.late.store(true, Ordering::Relaxed);
-    }
-}
-
 /// A probe that is out; given up, its connection is closed.
 struct Ask(Branch);
 
@@ -219,13 +218,8 @@
 }
 
 impl Hop {
-    /// A client for the next hop at this address, that nobody shares descriptors with.
-    pub fn new(address: &str, keeping: Keeping) -> Hop {
-        Hop::sharing(address, keeping, &Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)))
-    }
-
-    /// One of several that have so many sockets together.
-    pub fn sharing(address: &str, keeping: Keeping, sockets: &Arc<Semaphore>) -> Hop {
+    /// A client for the next hop at this address, one of several that have so many sockets together.
+    pub fn new(address: &str, keeping: Keeping, sockets: &Arc<Semaphore>) -> Hop {
         let client = |most_idle| {
             Client::builder(TokioExecutor::new())
                 // Prevents: a request that is sent again unseen is an attempt that nobody counted.
--- a/crates/net/src/hop/tests.rs
+++ b/crates/net/src/hop/tests.rs
@@ -1,5 +1,10 @@
 use super::*;
 
+/// A client that nobody shares sockets with.
+fn alone(address: &str, keeping: Keeping) -> Hop {
+    Hop::new(address, keeping, &Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)))
+}
+
 // Guards against a branch that waits for a connection past the grace of a drain, and against writing to a
 // connection that the other side may have dropped.
 #[test]
@@ -98,7 +103,7 @@
     let job = Job { id: "t".into(), path: "/c".into(), repeat_key: None, body: Bytes::new() };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
-        let hop = Hop::new(&address, keeping);
+        let hop = alone(&address, keeping);
         for (text, ending) in answers {
             let (_branch, drive) = hop.branch(&job, limit, false, Ends(tell.clone())).unwrap();
             drive.await;
@@ -129,7 +134,7 @@
     let (connect, idle) = (Duration::from_secs(2), Duration::from_secs(2));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
-        let hop = Hop::new(&address, Keeping { connect, idle, probe: PROBE, most_idle: 2 });
+        let hop = alone(&address, Keeping { connect, idle, probe: PROBE, most_idle: 2 });
         for _ in 0..2 {
             let (status, report) = hop.probe().await;
             assert_eq!((status, report.and_then(|r| r.free_slots)), (Status::Ok, Some(2.0)));
@@ -234,7 +239,7 @@
 }
 
 fn hop(address: &str) -> Hop {
-    Hop::new(address, Keeping { connect: SOON, idle: SOON, probe: SOON, most_idle: 2 })
+    alone(address, Keeping { connect: SOON, idle: SOON, probe: SOON, most_idle: 2 })
 }
 
 fn play(test: impl Future<Output = ()>) {
@@ -737,8 +742,7 @@
         let (listener, filler) = full();
         let address = listener.local_addr().unwrap().to_string();
         play(async {
-            let hop =
-                Hop::new(&address, Keeping { connect: patience, idle: SOON, probe: SOON, most_idle: 2 });
+            let hop = alone(&address, Keeping { connect: patience, idle: SOON, probe: SOON, most_idle: 2 });
             let out = Out::start(&hop, &job("a", 9), false);
             settle().await;
             if patience == SOON {
@@ -855,7 +859,7 @@
                 // One that floods is cut off by its size, one that is given up by its end.
                 let limit = if floods || given_up { SOON } else { PROBE };
                 let keeping = Keeping { connect: SOON, idle: SOON, probe: limit, most_idle: 2 };
-                let hop = Hop::new(&seen.address, keeping);
+                let hop = alone(&seen.address, keeping);
                 let mut probe = Box::pin(hop.probe());
                 if given_up {
                     while seen.told.try_recv().is_err() {
@@ -870,8 +874,7 @@
                     assert_eq!(timeout(SOON, probe).await.expect("no end"), (status, None), "{text}");
                 }
                 settle().await;
-                let (status, report) =
-                    Hop::new(&seen.address, Keeping { probe: SOON, ..keeping }).probe().await;
+                let (status, report) = alone(&seen.address, Keeping { probe: SOON, ..keeping }).probe().await;
                 assert_eq!((status, report.unwrap().free_slots), (Status::Ok, Some(2.0)), "{text}");
             });
             assert!(server.join().unwrap() < BUFFERED, "{text}");
@@ -889,7 +892,7 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap().to_string();
         let connect = Duration::from_millis(20);
-        let hop = Hop::new(&address, Keeping { connect, idle: SOON, probe: SOON, most_idle: 2 });
+        let hop = alone(&address, Keeping { connect, idle: SOON, probe: SOON, most_idle: 2 });
         play(async {
             let mut stream = None;
             if kept {
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -1,6 +1,6 @@
 //! The shell: carries out what the core asks for, and tells it what has become of it.
 
-use crate::config::{Config, GearmanConfig, Reload};
+use crate::config::{Config, GearmanConfig, Reload, Sockets};
 use crate::discovery::Watcher;
 use crate::discovery::zookeeper::Nodes;
 use crate::front::gearman::Gearman;
@@ -189,24 +189,9 @@
             fronts.spawn(front.serve(listener, closing.clone(), move || clock.now()));
         }
         let core = Core::new(config.settings, config.seed, retention);
-        let mut shell = Shell {
-            clock,
-            core: core.map_err(|e| io::Error::other(e.to_string()))?,
-            gate: gate.clone(),
-            keeping: Keeping::new(&config.conf, &config.sockets),
-            workers,
-            hops: HashMap::new(),
-            branches: HashMap::new(),
-            outbound: (Arc::new(Semaphore::new(config.sockets.outbound)), config.sockets.outbound),
-            waiting: HashMap::new(),
-            ready: Arc::default(),
-            close,
-            alarm: None,
-            exit: false,
-            conf: config.conf.clone(),
-            watch: None,
-            next_watch: None,
-        };
+        let core = core.map_err(|e| io::Error::other(e.to_string()))?;
+        let mut shell = Shell::new(clock, core, gate.clone(), config.conf.clone(), &config.sockets);
+        (shell.workers, shell.close) = (workers, close);
         let routes = |news| Event::Routes { source: Source::Discovery, news };
         let index = config.known.as_ref().map(|known| known.index);
         let known = config.known.unwrap_or_default().hops(&config.conf);
@@ -262,6 +247,28 @@
 }
 
 impl Shell {
+    /// One that knows no next hop yet, without a Gearman front.
+    fn new(clock: Clock, core: Core, gate: Gate, conf: Arc<Conf>, sockets: &Sockets) -> Shell {
+        Shell {
+            clock,
+            core,
+            gate,
+            keeping: Keeping::new(&conf, sockets),
+            workers: None,
+            hops: HashMap::new(),
+            branches: HashMap::new(),
+            outbound: (Arc::new(Semaphore::new(sockets.outbound)), sockets.outbound),
+            waiting: HashMap::new(),
+            ready: Arc::default(),
+            close: watch::channel(false).0,
+            alarm: None,
+            exit: false,
+            conf,
+            watch: None,
+            next_watch: None,
+        }
+    }
+
     /// The alarm has gone off, with this heard until now. Prevents: an answer that has come, or a client's leaving, is
     /// found after the time-out or the send that it would have made needless.
     fn due(&mut self, batch: &mut Vec<Heard>) {
@@ -448,7 +455,7 @@
     /// The client of a next hop; a new one where its address has changed.
     fn hop(&mut self, hop: WorkerId, address: &str) -> Hop {
         let (keeping, now) = (self.keeping, self.clock.now());
-        let new = || Hop::sharing(address, keeping, &self.outbound.0);
+        let new = || Hop::new(address, keeping, &self.outbound.0);
         let (client, used) = self.hops.entry(hop).or_insert_with(|| (new(), now));
         if client.address() != address {
             *client = new();
--- a/crates/net/src/shell/tests.rs
+++ b/crates/net/src/shell/tests.rs
@@ -15,42 +15,35 @@
     );
     let config = Config::from_text(&text, "config", |_| None).unwrap();
     let (gate, heard) = Gate::new();
-    let mut shell = Shell {
-        clock: Clock::start(),
-        core: Core::new(config.settings, config.seed, Retention::default()).unwrap(),
-        gate,
-        keeping: Keeping::new(&config.conf, &config.sockets),
-        workers: None,
-        hops: HashMap::new(),
-        branches: HashMap::new(),
-        outbound: (Arc::new(Semaphore::new(config.sockets.outbound)), config.sockets.outbound),
-        waiting: HashMap::new(),
-        ready: Arc::default(),
-        close: watch::channel(false).0,
-        alarm: None,
-        exit: false,
-        conf: config.conf.clone(),
-        watch: None,
-        next_watch: None,
-    };
+    let core = Core::new(config.settings, config.seed, Retention::default()).unwrap();
+    let mut shell = Shell::new(Clock::start(), core, gate, config.conf.clone(), &config.sockets);
     let known = config.known.unwrap().hops(&config.conf);
     shell.feed(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(known) });
     (shell, heard)
 }
 
-fn submit(shell: &mut Shell, n: u64, left: Micros) -> oneshot::Receiver<Answer> {
+fn job(n: u64) -> Job {
+    Job { id: format!("t{n}"), path: "/c".into(), repeat_key: None, body: Bytes::new() }
+}
+
+/// A client that hands in a job, and where its answer comes.
+fn waiting(n: u64, class: ClassId, left: Micros) -> (Heard, oneshot::Receiver<Answer>) {
     let (answer, answered) = oneshot::channel();
-    let job = Job { id: format!("t{n}"), path: "/c".into(), repeat_key: None, body: Bytes::new() };
     let transaction = Transaction {
-        class: ClassId(1),
+        class,
         left,
         slots: 1.0,
         memory: 0.0,
         tenant: None,
-        job: Arc::new(job),
+        job: Arc::new(job(n)),
         identity: None,
     };
-    shell.hear(Heard::Waiting { ticket: Ticket(n), transaction, answer, news: None });
+    (Heard::Waiting { ticket: Ticket(n), transaction, answer, news: None }, answered)
+}
+
+fn submit(shell: &mut Shell, n: u64, left: Micros) -> oneshot::Receiver<Answer> {
+    let (heard, answered) = waiting(n, ClassId(1), left);
+    shell.hear(heard);
     answered
 }
 
--- a/crates/net/src/shell/tests/sockets.rs
+++ b/crates/net/src/shell/tests/sockets.rs
@@ -1,5 +1,6 @@
 use super::super::*;
-use pumiceway_core::{NextHop, Transaction};
+use super::{job, waiting};
+use pumiceway_core::NextHop;
 use pumiceway_decisions::api::{KindId, WorkerState, ZoneId};
 use std::io::{Read, Write};
 use std::net::{TcpListener as Listener, TcpStream};
@@ -16,24 +17,8 @@
     let conf: Arc<Conf> = Arc::new(serde_json::from_str(SETTINGS).unwrap());
     let sockets = crate::config::Sockets { inbound: 8, spare: 2, outbound };
     let (gate, heard) = Gate::new();
-    let mut shell = Shell {
-        clock: Clock::start(),
-        core: Core::new(conf.settings().unwrap(), 7, Retention::default()).unwrap(),
-        gate,
-        keeping: Keeping::new(&conf, &sockets),
-        workers: None,
-        hops: HashMap::new(),
-        branches: HashMap::new(),
-        outbound: (Arc::new(Semaphore::new(outbound)), outbound),
-        waiting: HashMap::new(),
-        ready: Arc::default(),
-        close: watch::channel(false).0,
-        alarm: None,
-        exit: false,
-        conf,
-        watch: None,
-        next_watch: None,
-    };
+    let core = Core::new(conf.settings().unwrap(), 7, Retention::default()).unwrap();
+    let mut shell = Shell::new(Clock::start(), core, gate, conf, &sockets);
     let line = |(n, listener): (usize, &&Listener)| NextHop {
         name: format!("w{n}"),
         reach: Reach::Address(listener.local_addr().unwrap().to_string()),
@@ -56,13 +41,7 @@
 }
 
 fn handed_in(n: u64) -> (Heard, oneshot::Receiver<Answer>) {
-    let (answer, answered) = oneshot::channel();
-    let job =
-        Job { id: format!("t{n}"), path: "/push/k".into(), repeat_key: None, body: bytes::Bytes::new() };
-    let (class, left, slots, memory) = (ClassId(0), 5_000_000, 1.0, 0.0);
-    let transaction =
-        Transaction { class, left, slots, memory, tenant: None, job: Arc::new(job), identity: None };
-    (Heard::Waiting { ticket: Ticket(n), transaction, answer, news: None }, answered)
+    waiting(n, ClassId(0), 5_000_000)
 }
 
 /// Plays the loop until the next thing is heard, and takes that in.
@@ -141,9 +120,7 @@
         }
         // A third is reached: one of the idle ones goes, and is closed.
         let address = hops[2].local_addr().unwrap().to_string();
-        let job =
-            Job { id: "t9".into(), path: "/push/k".into(), repeat_key: None, body: bytes::Bytes::new() };
-        shell.start(BranchId(9), WorkerId(2), &address, &job, Duration::from_secs(5), false);
+        shell.start(BranchId(9), WorkerId(2), &address, &job(9), Duration::from_secs(5), false);
         let (_stream, text) = asked(&hops[2]).await;
         assert!(text.contains("x-txn: t9"), "{text}");
         let gone = tokio::task::spawn_blocking(move || streams[0].read(&mut [0])).await.unwrap();
@@ -181,9 +158,7 @@
         }
         drop(stream);
         let address = hops[1].local_addr().unwrap().to_string();
-        let job =
-            Job { id: "t9".into(), path: "/push/k".into(), repeat_key: None, body: bytes::Bytes::new() };
-        shell.start(BranchId(9), WorkerId(1), &address, &job, Duration::from_secs(5), false);
+        shell.start(BranchId(9), WorkerId(1), &address, &job(9), Duration::from_secs(5), false);
         assert!(asked(&hops[1]).await.1.contains("x-txn: t9"));
     });
 }
--- a/crates/pumiceway/tests/command.rs
+++ b/crates/pumiceway/tests/command.rs
@@ -2,7 +2,7 @@
 
 use pumiceway_rig::{SETTINGS, Stage};
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Child, Command, Output};
 
 fn file(name: &str, text: &str) -> PathBuf {
     let path = std::env::temp_dir().join(format!("pumiceway-{}-{name}", std::process::id()));
@@ -101,17 +101,24 @@
     });
 }
 
-#[test]
-fn a_signal_stops_the_program_once_nothing_is_owed() {
-    let config = file("stop.json", &format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#));
-    let mut child = Command::new(env!("CARGO_BIN_EXE_pumiceway"))
+/// The program, that serves on this configuration.
+fn serve(config: &PathBuf, more: &[(&str, &str)]) -> Child {
+    let child = Command::new(env!("CARGO_BIN_EXE_pumiceway"))
         .arg("serve")
         .env_clear()
-        .env("ROUTER_CONFIG", &config)
+        .env("ROUTER_CONFIG", config)
+        .envs(more.iter().copied())
         .stderr(std::process::Stdio::piped())
         .spawn()
         .unwrap();
     give_up_on(child.id());
+    child
+}
+
+#[test]
+fn a_signal_stops_the_program_once_nothing_is_owed() {
+    let config = file("stop.json", &format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#));
+    let mut child = serve(&config, &[]);
     let mut line = String::new();
     std::io::BufRead::read_line(&mut std::io::BufReader::new(child.stderr.take().unwrap()), &mut line)
         .unwrap();
@@ -130,15 +137,7 @@
     let (old, address) = ("127.0.0.1:1", discovery.local_addr().unwrap().to_string());
     let text = format!(r#"{{"listen":"127.0.0.1:0","discovery":"{old}","settings":{SETTINGS}}}"#);
     let config = file("hang-up.json", &text);
-    let mut child = Command::new(env!("CARGO_BIN_EXE_pumiceway"))
-        .arg("serve")
-        .env_clear()
-        .env("ROUTER_CONFIG", &config)
-        .env("ROUTER_DISCOVERY", old)
-        .stderr(std::process::Stdio::piped())
-        .spawn()
-        .unwrap();
-    give_up_on(child.id());
+    let mut child = serve(&config, &[("ROUTER_DISCOVERY", old)]);
     let (signal, mut log) = (child.id().to_string(), BufReader::new(child.stderr.take().unwrap()).lines());
     let send = |name: &str| assert!(Command::new("kill").args([name, &signal]).status().unwrap().success());
     let mut until = |part: &str| log.any(|line| line.unwrap().contains(part));
@@ -174,14 +173,7 @@
           "settings":{SETTINGS}}}"#
     );
     let config = file("signals.json", &text);
-    let mut child = Command::new(env!("CARGO_BIN_EXE_pumiceway"))
-        .arg("serve")
-        .env_clear()
-        .env("ROUTER_CONFIG", &config)
-        .stderr(std::process::Stdio::piped())
-        .spawn()
-        .unwrap();
-    give_up_on(child.id());
+    let mut child = serve(&config, &[]);
     let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
     let listens =
         log.find_map(|line| line.unwrap().split_once("address=").map(|(_, a)| a.to_owned())).unwrap();
