Route set: names that come and go without end leave no more behind than so many

Seen by reading: each name ever listed kept a line and a handle in the route set (routes.rs hops, handles, left), a record in the decisions (state.rs workers, by_id) and, once it was sent a job, a client in the shell (shell.rs hops). A next hop with an empty name was moreover entered into by_id anew with each list.

Mend: the core gives handles out anew. Of the next hops that are gone the last 1,024 to leave are remembered as before; a new name takes the handle of the first to leave beyond these, if no open transaction was sent there and no probe is out there. Every branch belongs to an open transaction, which now remembers where its attempts went in place of how many there were, so nothing in flight, and no attempt that the decisions still know, can meet another under its handle; branches and probes are known by numbers that are never used twice. Names that are known are taken in before new ones, so that none loses its handle to one that stands before it in the same list. The shell is told to let go of the old one before the new one is started at; the decisions know a handle by the id it was listed with, and keep nothing for another.

Checked: the shell keeps a client for each handle and nothing else by name; transactions and requests are dropped within the same event by core and decisions; sessions of Gearman workers have seats already.

Tests: without the mend "1026: 1027 known, 1027 reached", "1026: 1027 next hops are kept", "[Some(1)]" for "[Some(0)]" where a handle has another's failure. Planted: nothing is owed ("its branch is out"), probes owe nothing, branches alone do ("who was tried there waits"), none remembered ("it has left"), new names first ("(Some(1), Some(2), Some(0))"), not let go ("nothing is heard": a job went out on the connection of the one before), the order of ids not renewed. 6,144 names at most in a test; real connections in the shell's.

--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -1,7 +1,7 @@
 //! The reducer: every change of state, in one place.
 
 use super::kept::{Kept, Known};
-use super::routes::RouteSet;
+use super::routes::{Applied, RouteSet};
 use super::spent::Spent;
 use super::*;
 use pumiceway_decisions::Balancer;
@@ -93,7 +93,8 @@
     job: Arc<Job>,
     identity: Option<Identity>,
     tickets: Vec<Ticket>,
-    attempts: usize,
+    /// Where each attempt went.
+    attempts: Vec<WorkerId>,
     out: usize,
     /// An attempt that is over may have run.
     ran: bool,
@@ -287,8 +288,8 @@
         let reach = self.routes.reach(hop).cloned();
         let branch = BranchId(self.next_id());
         let Some(open) = self.transactions.get_mut(&request) else { return };
-        let attempt = open.attempts;
-        open.attempts += 1;
+        let attempt = open.attempts.len();
+        open.attempts.push(hop);
         open.out += 1;
         let end = open.deadline.saturating_sub(BRANCH_MARGIN);
         let until = timeout.filter(|&t| t > 0).map_or(end, |t| end.min(now + t));
@@ -391,7 +392,7 @@
                 job: t.job,
                 identity: t.identity,
                 tickets: vec![ticket],
-                attempts: 0,
+                attempts: vec![],
                 out: 0,
                 ran: false,
                 answered: false,
@@ -536,8 +537,14 @@
 
     fn routes(&mut self, source: Source, news: RouteNews, out: &mut Vec<Effect>) {
         let told = !matches!(news, RouteNews::WarmCopy(_) | RouteNews::Lost);
-        let (kind, hops) = self.routes.apply(source, news);
-        self.pending.push_back(Told::List(kind, hops));
+        // The decisions remember each attempt of a request for as long as it is open here.
+        let owed = || {
+            let tried = self.transactions.values().flat_map(|open| open.attempts.iter().copied());
+            tried.chain(self.probes.values().map(|(hop, _)| *hop)).collect()
+        };
+        let Applied { kind, lines, reused } = self.routes.apply(source, news, owed);
+        out.extend(reused.into_iter().map(|hop| Effect::Disconnect { hop }));
+        self.pending.push_back(Told::List(kind, lines));
         if !self.ready && (told || self.routes.any_ready()) {
             self.ready = true;
             out.push(Effect::Ready);
--- a/crates/core/tests/ends.rs
+++ b/crates/core/tests/ends.rs
@@ -594,3 +594,136 @@
         assert_eq!(started(&stage.submitted(7, named(7, "w"))).len(), 1, "its time is over");
     }
 }
+
+/// Next hops that are gone and remembered, as the route set has it.
+const GONE_MOST: usize = 1_024;
+
+/// A list of one hop of a new name, this many times.
+fn come_and_go(stage: &mut Stage, names: std::ops::Range<usize>) -> Vec<Effect> {
+    names.flat_map(|n| stage.lists(&[hop(&format!("n{n}"))])).collect()
+}
+
+fn starts_at(effects: &[Effect]) -> Vec<(BranchId, api::WorkerId)> {
+    let start = |e: &Effect| match e {
+        Effect::Start { branch, hop, .. } => Some((*branch, *hop)),
+        _ => None,
+    };
+    effects.iter().filter_map(start).collect()
+}
+
+fn disconnected(effects: &[Effect], from: api::WorkerId) -> bool {
+    effects.contains(&Effect::Disconnect { hop: from })
+}
+
+// Guards against memory that grows with every name that was ever listed, here, in the decisions, which keep a place for
+// each handle, and in the shell, which keeps what it reaches a next hop with until it is told to let go.
+#[test]
+fn names_without_end_leave_no_more_behind_than_so_many() {
+    for s in sites() {
+        let mut stage = Stage::new(s, &[]);
+        let mut reached = std::collections::HashSet::new();
+        for n in 0..3_000 {
+            for effect in stage.lists(&[hop(&format!("n{n}"))]) {
+                if let Effect::Disconnect { hop } = effect {
+                    assert!(reached.remove(&hop), "{n}: {hop:?} was let go before");
+                }
+            }
+            let effects = stage.submit(SAFE, n);
+            let [(branch, to)] = starts_at(&effects)[..] else { panic!("{n}: {effects:?}") };
+            let reach = Reach::Address(format!("n{n}:1"));
+            let there = |e: &Effect| matches!(e, Effect::Start { reach: r, .. } if *r == reach);
+            assert!(effects.iter().any(there), "{effects:?}");
+            assert!(reached.insert(to), "{n}: {to:?} is not let go of yet");
+            assert_eq!(answers(&stage.ended(branch, done())).len(), 1);
+            let (known, most) = (stage.core.overview().hops.len(), GONE_MOST + 2);
+            assert!(known <= most && reached.len() <= most, "{n}: {known} known, {} reached", reached.len());
+            assert!((to.0 as usize) < most, "{n}: {to:?}");
+        }
+    }
+}
+
+// Guards against a next hop that is taken for another that is gone: it would be answered for, blamed and left out for what
+// is out there or was tried there. Once nothing is, its place goes to the next new name.
+#[test]
+fn what_is_owed_to_a_next_hop_that_is_gone_keeps_its_place() {
+    for s in sites() {
+        let mut stage = Stage::new(s.clone(), &[]);
+        let one = |name: &str| NextHop { jobs: Some(1), ..hop(name) };
+        stage.lists(&[one("out"), one("tried")]);
+        // One is out at each; one has come back from there, and waits.
+        let [(out, at)] = starts_at(&stage.submit(KEYED, 1))[..] else { panic!() };
+        let [(failed, tried)] = starts_at(&stage.submit(ONCE, 2))[..] else { panic!() };
+        stage.lists(&[]);
+        assert_eq!(starts_at(&stage.ended(failed, Ending::NotConnected)), []);
+        let waits = s.max_attempts > 1;
+        let mut all = Vec::new();
+        for n in 0..3 * GONE_MOST {
+            // Draining, so that nothing goes there.
+            let new = NextHop { state: WorkerState::Draining, ..hop(&format!("n{n}")) };
+            all.extend(stage.lists(&[new]));
+        }
+        assert!(!disconnected(&all, at), "its branch is out");
+        assert_eq!(disconnected(&all, tried), !waits, "who was tried there waits");
+        // It comes back as it was: its one place is taken until the branch is over.
+        let back = stage.lists(&[one("out")]);
+        assert_eq!(starts_at(&back), []);
+        assert_eq!(starts_at(&stage.submit(SAFE, 3)), []);
+        let mut over = stage.ended(out, done());
+        assert_eq!(answers(&over)[0], (1, Answer::Served("x".into())));
+        // Whoever waits goes there now, one after the other.
+        let mut served = Vec::new();
+        while let Some(&(branch, to)) = starts_at(&over).first() {
+            assert_eq!(to, at);
+            over = stage.ended(branch, done());
+            served.extend(answers(&over).iter().map(|a| a.0));
+        }
+        served.sort();
+        assert_eq!(served, if waits { vec![2, 3] } else { vec![3] });
+        let all = come_and_go(&mut stage, 4 * GONE_MOST..6 * GONE_MOST);
+        assert!(disconnected(&all, at) && (!waits || disconnected(&all, tried)));
+        // What comes late for it says nothing of the one that has its place.
+        assert!(stage.ended(out, Ending::Reset).is_empty());
+    }
+}
+
+// Guards against a probe of one that is gone which takes out whoever has its place.
+#[test]
+fn a_probe_that_is_out_keeps_the_place_of_its_next_hop() {
+    let [s, ..] = sites();
+    let mut stage = Stage::new(Settings { probes: true, ..s }, &[hop("probed")]);
+    let [(branch, at)] = starts_at(&stage.submit(SAFE, 1))[..] else { panic!() };
+    let probed = |e: &Effect| match e {
+        Effect::Probe { hop, probe, .. } => Some((*hop, *probe)),
+        _ => None,
+    };
+    let suspected = stage.ended(branch, Ending::NotConnected);
+    let (to, probe) = suspected.iter().find_map(probed).expect("no probe");
+    assert_eq!(to, at);
+    stage.pass(1_000 * MS);
+    assert!(!disconnected(&come_and_go(&mut stage, 0..3 * GONE_MOST), at));
+    stage.tell(Event::Probed { hop: to, probe, status: api::Status::Timeout, report: None });
+    assert!(disconnected(&come_and_go(&mut stage, 3 * GONE_MOST..6 * GONE_MOST), at));
+}
+
+// Guards against a name that is forgotten too soon: a list that lags behind brings back one that has left, or one that
+// comes back finds its place taken by another that stands before it in the same list.
+#[test]
+fn a_name_that_comes_back_is_known_by_its_place() {
+    let [s, ..] = sites();
+    let mut stage = Stage::new(s.clone(), &[hop("a")]);
+    come_and_go(&mut stage, 0..GONE_MOST - 1);
+    stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Older(vec![hop("a")]) });
+    assert!(stage.submit(SAFE, 1).iter().all(|e| !matches!(e, Effect::Start { .. })), "it has left");
+    let names: Vec<String> = (0..2 * GONE_MOST).map(|n| format!("n{n}")).collect();
+    let hops: Vec<NextHop> = names.iter().map(|name| hop(name)).collect();
+    let mut stage = Stage::new(s, &hops);
+    stage.lists(&[]);
+    // All of them left at once, so the first may be forgotten first.
+    stage.lists(&[hop("new"), hop("n0"), hop("new"), hop("n1")]);
+    let known: Vec<(String, WorkerState)> =
+        stage.core.overview().hops.into_iter().map(|h| (h.name, h.state)).collect();
+    let at = |name: &str| known.iter().position(|(known, _)| known == name);
+    assert_eq!((at("n0"), at("n1"), at("new")), (Some(0), Some(1), Some(2)));
+    assert_eq!(known.iter().filter(|(_, state)| *state == WorkerState::Ready).count(), 3);
+    assert_eq!(known.len(), 2 * GONE_MOST);
+}
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -13,7 +13,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
-/// Host-chosen handle of a worker; small, dense from 0, and the same for as long as the id is the same.
+/// Host-chosen handle of a worker; small, dense from 0, and the same for as long as the id is the same. Once a worker is
+/// gone, no probe of it is out and no open request was sent to it, the host may give its handle to another id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WorkerId(pub u32);
 
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -8,7 +8,7 @@
 #[derive(Default)]
 pub(crate) struct Memory {
     pub(crate) workers: Vec<Worker>,
-    /// Every worker ever listed, in id order.
+    /// Every handle ever listed, in the order of ids.
     pub(crate) by_id: Vec<WorkerId>,
     /// Workers with our work out, or suspected; and where the round of refreshing probes stands.
     pub(crate) watched: Vec<WorkerId>,
@@ -74,7 +74,8 @@
 /// What is known of one worker.
 #[derive(Default)]
 pub(crate) struct Worker {
-    pub(crate) id: String,
+    /// `None` before it is first listed.
+    pub(crate) id: Option<String>,
     pub(crate) zone: ZoneId,
     pub(crate) kind: KindId,
     pub(crate) cell: Option<u64>,
@@ -303,29 +304,34 @@
         }
     }
 
-    /// Takes in lines of the worker list; a worker that has started anew keeps only what of ours is out there.
+    /// Takes in lines of the worker list; a worker that has started anew keeps only what of ours is out there, and one
+    /// that has taken another's handle over has nothing of it.
     pub(crate) fn merge(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         if matches!(kind, ListKind::Whole | ListKind::WarmCopy) {
             for w in &mut self.workers {
                 (w.listed, w.state) = (false, WorkerState::Gone);
             }
         }
-        let known = self.by_id.len();
+        let mut renamed = false;
         for e in entries {
             let at = e.worker.0 as usize;
             let new = || Worker { own_at: now, heard: now, ..Worker::default() };
             self.workers.resize_with(self.workers.len().max(at + 1), new);
             let w = &mut self.workers[at];
+            if w.id.as_deref() != Some(e.id) {
+                renamed = true;
+                if w.id.is_none() {
+                    self.by_id.push(e.worker);
+                }
+                // It stays among those that ticks look after until the next one.
+                *w = Worker { id: Some(e.id.to_string()), watched: w.watched, ..new() };
+            }
             if w.listed_start != e.ready_at && e.ready_at > 0 {
                 let old = std::mem::replace(w, new());
                 (w.id, w.own, w.own_memory, w.own_count) = (old.id, old.own, old.own_memory, old.own_count);
                 (w.unstarted, w.watched, w.probe_out) = (old.unstarted, old.watched, old.probe_out);
                 (w.probe_at, w.used) = (old.probe_at, old.used);
             }
-            if w.id.is_empty() {
-                w.id = e.id.to_string();
-                self.by_id.push(e.worker);
-            }
             w.place = e.id.bytes().fold(0, |h, b| mix(h ^ u64::from(b)));
             w.salt = e.id.bytes().fold(e.ready_at, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3));
             (w.zone, w.kind, w.cell, w.state) = (e.zone, e.kind, e.cell, e.state);
@@ -333,7 +339,7 @@
             (w.size, w.warm, w.jobs) = (e.size, e.warm, e.jobs);
             w.listed = e.state == WorkerState::Ready;
         }
-        if self.by_id.len() > known {
+        if renamed {
             let workers = &self.workers;
             self.by_id.sort_by(|a, b| workers[a.0 as usize].id.cmp(&workers[b.0 as usize].id));
         }
--- a/crates/decisions/tests/decisions.rs
+++ b/crates/decisions/tests/decisions.rs
@@ -762,3 +762,48 @@
     let spread = t.spread(5);
     assert!(spread.contains(&Some(0)) && spread.contains(&Some(1)), "{spread:?}");
 }
+
+// Guards against a worker that is taken for the one whose handle it has: left out for a failure of that one, given little
+// as if it had the other's work, or listed in its place in the order of ids.
+#[test]
+fn a_worker_that_has_the_handle_of_one_that_is_gone_has_nothing_else_of_it() {
+    let gone = |worker| Entry { state: WorkerState::Gone, ..entry(worker, 0) };
+    let other = |worker, id| Entry { id, ..entry(worker, 0) };
+    let marks: [fn(&mut Bench); 4] = [
+        // Failed, and out of reach.
+        |t| {
+            let (r, out) = t.ask(0, 1.0);
+            assert_eq!(sent(&out), Some(0));
+            t.outcome(r, 0, 0, Status::ConnectFailed);
+            t.probed(0, Status::Timeout, None);
+        },
+        // Turned away as full.
+        |t| {
+            let (r, out) = t.ask(0, 1.0);
+            assert_eq!(sent(&out), Some(0));
+            t.outcome(r, 0, 0, Status::Full);
+        },
+        // In use by others.
+        |t| drop(t.report(0, 0.0)),
+        // Started just now.
+        |t| {
+            let entries = [Entry { ready_at: START - MS, ..entry(0, 0) }];
+            t.event(Event::List { kind: ListKind::Changes, entries: &entries });
+        },
+    ];
+    for (n, mark) in marks.iter().enumerate() {
+        let mut t = Bench::new(settings(Effect::Safe), &[entry(0, 0), entry(1, 1)], 4.0);
+        mark(&mut t);
+        t.event(Event::List { kind: ListKind::Changes, entries: &[gone(0)] });
+        t.event(Event::List { kind: ListKind::Changes, entries: &[other(0, "z")] });
+        assert_eq!(t.spread(1), [Some(0)], "{n}");
+    }
+    // In the order of ids as they are now.
+    let mut t = Bench::new(settings(Effect::Safe), &[entry(0, 0), entry(1, 0)], 4.0);
+    assert_eq!(t.spread(1), [Some(0)]);
+    let mut t = Bench::new(settings(Effect::Safe), &[entry(0, 0), entry(1, 0)], 4.0);
+    t.event(Event::List { kind: ListKind::Changes, entries: &[gone(0)] });
+    t.event(Event::List { kind: ListKind::Changes, entries: &[other(0, "z")] });
+    t.report(0, 4.0);
+    assert_eq!(t.spread(1), [Some(1)]);
+}
--- a/crates/net/src/shell/tests/sockets.rs
+++ b/crates/net/src/shell/tests/sockets.rs
@@ -19,7 +19,13 @@
     let (gate, heard) = Gate::new();
     let core = Core::new(conf.settings().unwrap(), 7, Retention::default()).unwrap();
     let mut shell = Shell::new(Clock::start(), core, gate, conf, &sockets);
-    let line = |(n, listener): (usize, &&Listener)| NextHop {
+    let lines = hops.iter().enumerate().map(|(n, listener)| line(n, listener)).collect();
+    shell.feed(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(lines) });
+    (shell, heard)
+}
+
+fn line(n: usize, listener: &Listener) -> NextHop {
+    NextHop {
         name: format!("w{n}"),
         reach: Reach::Address(listener.local_addr().unwrap().to_string()),
         zone: ZoneId(0),
@@ -30,10 +36,7 @@
         size: 0.0,
         warm: true,
         jobs: Some(1),
-    };
-    let lines = hops.iter().enumerate().map(line).collect();
-    shell.feed(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(lines) });
-    (shell, heard)
+    }
 }
 
 fn listeners<const N: usize>() -> [Listener; N] {
@@ -215,3 +218,50 @@
         answers.push(answered);
     }
 }
+
+// Guards against memory that grows with every name of a next hop that was ever sent a job, and against a connection to
+// one that is gone which carries a job for the next.
+#[test]
+fn next_hops_whose_names_come_and_go_are_let_go_of() {
+    const NAMES: usize = 1_500;
+    let hops = listeners::<1>();
+    let (mut shell, mut heard) = shell(8, &[]);
+    let listener = hops[0].try_clone().unwrap();
+    let server = std::thread::spawn(move || {
+        let mut first = None;
+        for n in 0..NAMES {
+            let mut stream = listener.accept().unwrap().0;
+            stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                let mut part = [0; 512];
+                let read = stream.read(&mut part).unwrap();
+                assert!(read > 0, "{n}");
+                head.extend_from_slice(&part[..read]);
+            }
+            let head = String::from_utf8(head).unwrap();
+            assert!(head.contains(&format!("x-txn: t{n}\r\n")), "{n}: {head}");
+            let line = format!("{{\"id\":\"t{n}\",\"state\":\"done\",\"result\":\"\"}}\n");
+            let end = if n == 0 { "" } else { "Connection: close\r\n" };
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n{end}\r\n", line.len());
+            stream.write_all((head + &line).as_bytes()).unwrap();
+            // The first stays open. Whoever has its place is at its address, and comes on a connection of its own.
+            first.get_or_insert(stream);
+        }
+        assert_eq!(first.unwrap().read(&mut [0]).unwrap(), 0);
+    });
+    block_on(async {
+        for n in 0..NAMES {
+            let news = RouteNews::Whole(vec![line(n, &hops[0])]);
+            shell.feed(Event::Routes { source: Source::Discovery, news });
+            let (waiting, mut answered) = handed_in(n as u64);
+            shell.take(&mut vec![waiting]);
+            while answered.is_empty() {
+                go_on(&mut shell, &mut heard).await;
+            }
+            assert_eq!(answered.try_recv(), Ok(Answer::Served(Default::default())), "{n}");
+            assert!(shell.hops.len() <= 1_026, "{n}: {} next hops are kept", shell.hops.len());
+        }
+    });
+    server.join().unwrap();
+}
