Next hops: interim answers without end are read up to 1 MiB, not for all of the time

Seen: a next hop that answers 100, 102 or 103 without end. hyper skips them in one loop (its role.rs, 'Loop to skip information status code headers', and io.rs parse), which goes on while the socket has more: memory is bounded by its buffer, and the attempt and its connection end with the attempt's time, but the one loop that everyone is served by stood still for 0.46 to 0.54 s at a stretch (release), up to 21 s in a debug build, for as long as the attempt lasted. 660 to 720 MB were read in 4 s. A probe does the same.

Mend, hop/line.rs: what is read for a request before the head of its answer is counted; beyond 1 MiB the connection is cut, and the attempt ends as reset. hyper holds no more than 408 KiB of a head, and may have read as much again before the head is handed out, so nothing that it takes is cut. The bool that told whether an answer had come is now the number of the last request answered: what comes for one that was heard of late takes nothing from the next.

--- a/crates/net/src/hop/line.rs
+++ b/crates/net/src/hop/line.rs
@@ -9,7 +9,7 @@
 use std::io::{self, Read};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -17,6 +17,10 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tower_service::Service;
 
+/// So much may come before the head of an answer: interim answers (1xx) and the head. hyper buffers 408 KiB at most,
+/// and may have read on so far before the head is handed out.
+const BEFORE_ANSWER: usize = 1 << 20;
+
 /// Cuts a line. Prevents: hyper notices only at the next line of the answer that nobody wants it any more, and
 /// until then the branch is still out at the next hop.
 #[derive(Clone, Default)]
@@ -25,29 +29,32 @@
 #[derive(Default)]
 struct Cut {
     done: AtomicBool,
-    /// An answer has come on it.
-    used: AtomicBool,
     /// The requests it was given so far; the last one's number.
     turn: AtomicU64,
+    /// Of the requests whose answer has begun, the last one's number.
+    answered: AtomicU64,
+    /// What was read for the last request before its answer began, in bytes.
+    before: AtomicUsize,
     /// Not a byte of the last one has been written.
     unwritten: AtomicBool,
     reader: AtomicWaker,
 }
 
 impl Cutter {
-    /// An answer has come on the connection.
-    pub fn set_used(&self) {
-        self.0.used.store(true, Ordering::Relaxed);
+    /// The answer to this request has begun. A later one's may have, too: it may be heard of after that.
+    pub fn answered(&self, turn: u64) {
+        self.0.answered.fetch_max(turn, Ordering::Relaxed);
     }
 
-    /// Whether one had come.
+    /// Whether an answer had come on the connection.
     pub fn used(&self) -> bool {
-        self.0.used.load(Ordering::Relaxed)
+        self.0.answered.load(Ordering::Relaxed) > 0
     }
 
     /// The next request is about to be written; its number on this connection, from 1.
     pub fn begin(&self) -> u64 {
         self.0.unwritten.store(true, Ordering::Relaxed);
+        self.0.before.store(0, Ordering::Relaxed);
         self.0.turn.fetch_add(1, Ordering::Relaxed) + 1
     }
 
@@ -86,6 +93,18 @@
         }
     }
 
+    /// Prevents: a next hop that sends interim answers without end, which hyper skips, takes the whole loop for as long as
+    /// it is listened to.
+    fn check_read(&self, read: usize) -> io::Result<()> {
+        let cut = &self.cutter.0;
+        let waits = cut.answered.load(Ordering::Relaxed) < cut.turn.load(Ordering::Relaxed);
+        if waits && cut.before.fetch_add(read, Ordering::Relaxed) + read > BEFORE_ANSWER {
+            cut.done.store(true, Ordering::Release);
+            return Err(io::Error::other("interim answers without end"));
+        }
+        Ok(())
+    }
+
     /// Before the first byte of a request, looks whether the other side has closed or has sent what nobody asked for.
     /// Prevents: a request is lost as one that may have run, written to a connection that was dead before it; and what
     /// came late for the request before is taken as its answer. The runtime may not have heard of it yet, so the
@@ -127,7 +146,10 @@
     ) -> Poll<io::Result<()>> {
         self.cutter.0.reader.register(cx.waker());
         self.check()?;
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let held = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.check_read(buf.filled().len() - held)?;
+        read
     }
 }
 
--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -203,7 +203,7 @@
 
     fn answered(&self) {
         if let Some(cutter) = self.cutter() {
-            cutter.set_used();
+            cutter.answered(self.course.turn.load(Ordering::Relaxed));
         }
     }
 }
--- a/crates/net/src/hop/tests.rs
+++ b/crates/net/src/hop/tests.rs
@@ -927,3 +927,93 @@
         });
     }
 }
+
+const INTERIM: [&str; 3] = [
+    "HTTP/1.1 100 Continue\r\n\r\n",
+    "HTTP/1.1 102 Processing\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+];
+
+// Guards against a next hop that sends interim answers without end: they were skipped one by one for as long as the attempt
+// or the probe lasted, half a second at a time in which nothing else went on. On a new connection and on a kept one.
+#[test]
+fn interim_answers_without_end_are_read_so_far_and_no_further() {
+    for text in INTERIM {
+        for kept in [false, true] {
+            let (worker, seen) = worker();
+            let server = std::thread::spawn(move || {
+                use std::io::Write;
+                let mut stream = worker.accept();
+                if kept {
+                    read_request(&mut stream);
+                    stream.write_all(done("z").as_bytes()).unwrap();
+                }
+                read_request(&mut stream);
+                let out = flood(&mut stream, "", text);
+                // The probe.
+                let mut stream = worker.accept();
+                read_request(&mut stream);
+                out.max(flood(&mut stream, "", text))
+            });
+            play(async {
+                let hop = hop(&seen.address);
+                if kept {
+                    assert_eq!(Out::start(&hop, &job("z", 9), false).end().await, served("z"));
+                    settle().await;
+                }
+                let ending = if kept { Ending::KeptReset } else { Ending::Reset };
+                assert_eq!(Out::start(&hop, &job("a", 9), false).end().await, (ending, None), "{text}");
+                let probe = timeout(SOON, hop.probe()).await.expect("no end");
+                assert_eq!(probe, (Status::Reset, None), "{text}");
+                settle().await;
+            });
+            let read = server.join().unwrap();
+            assert!(read < BUFFERED, "{text}: {read}");
+        }
+    }
+}
+
+// Guards against a bound on interim answers that counts those of answers before, or what comes after the head: one
+// connection serves the largest results, each after many interim answers.
+#[test]
+fn interim_answers_count_for_their_own_request_alone() {
+    const REQUESTS: usize = 3;
+    let (worker, mut seen) = worker();
+    let interim: String = INTERIM.concat().repeat(8_000);
+    let result = "\\u0000".repeat(64 << 10);
+    let last = chunk(&format!("{{\"id\":\"a\",\"state\":\"done\",\"result\":\"{result}\"}}\n")) + "0\r\n\r\n";
+    assert!(interim.len() < 1 << 20 && interim.len() + last.len() > 1 << 20);
+    let begin = interim + CHUNKED + &chunk("{\"id\":\"a\",\"state\":\"started\"}\n");
+    let server = std::thread::spawn(move || {
+        use std::io::Write;
+        let mut stream = worker.accept();
+        for _ in 0..REQUESTS {
+            read_request(&mut stream);
+            stream.write_all(begin.as_bytes()).unwrap();
+            worker.at("begun");
+            stream.write_all(last.as_bytes()).unwrap();
+        }
+    });
+    play(async {
+        let hop = hop(&seen.address);
+        for n in 0..REQUESTS {
+            let heard = Heard::default();
+            let (_, drive) = hop.branch(&job("a", 9), SOON, false, heard.clone()).unwrap();
+            let task = tokio::spawn(drive);
+            seen.told("begun").await;
+            let begun = async {
+                while heard.0.lock().unwrap().0.is_empty() {
+                    assert!(!task.is_finished(), "{n}: {:?}", heard.ends());
+                    tokio::task::yield_now().await;
+                }
+            };
+            timeout(SOON, begun).await.expect("the start is not heard of");
+            seen.go();
+            timeout(SOON, task).await.expect("no end").unwrap();
+            let words: Vec<_> = heard.ends().iter().map(Ending::word).collect();
+            assert_eq!(words, ["served"], "{n}");
+            settle().await;
+        }
+    });
+    server.join().unwrap();
+}
--- a/crates/net/tests/attempts.rs
+++ b/crates/net/tests/attempts.rs
@@ -52,6 +52,9 @@
     Close,
     /// It says nothing more, and counts the end of the connection as a request named `closed`.
     Silence,
+    /// It goes on saying this, at once or now and then, and counts the end in the same way.
+    Flood(&'static str),
+    Trickle(&'static str),
     /// It takes the next request.
     Next,
 }
@@ -159,6 +162,17 @@
                 requests.lock().unwrap().insert("closed".into(), 1);
                 return;
             }
+            Then::Flood(text) | Then::Trickle(text) => {
+                let now_and_then = then == Then::Trickle(text);
+                let text = text.repeat(if now_and_then { 1 } else { 1_000 });
+                while stream.write_all(text.as_bytes()).is_ok() {
+                    if now_and_then {
+                        std::thread::sleep(Duration::from_millis(1));
+                    }
+                }
+                requests.lock().unwrap().insert("closed".into(), 1);
+                return;
+            }
         }
     }
 }
@@ -220,7 +234,8 @@
     let own = *fate == Fate::Served && *then == Then::Next;
     stage.go_on(&job(if own { class } else { safe }, "t2", 5_000));
     stage.go_on("c expect 200 t2");
-    while *then == Then::Silence && !workers.requests.lock().unwrap().contains_key("closed") {
+    let ends = matches!(then, Then::Silence | Then::Flood(_) | Then::Trickle(_));
+    while ends && !workers.requests.lock().unwrap().contains_key("closed") {
         assert!(start.elapsed() < Duration::from_secs(5), "{what}: still open");
         std::thread::sleep(Duration::from_millis(1));
     }
@@ -300,3 +315,24 @@
     let cases = [String::new(), HEAD.into(), half].map(|say| (say, Then::Silence, Fate::Late));
     table(&cases, 300);
 }
+
+// Guards against a next hop that says forever that it will answer: it holds the loop that everyone is served by, or its
+// attempt past its time, or its connection after that.
+#[test]
+fn interim_answers_without_end_end_the_attempt_and_its_connection_and_hold_up_nobody() {
+    const EACH: [&str; 3] = [
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 102 Processing\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+    ];
+    let say = String::new;
+    // The machine reads a mebibyte of them slowly where nothing is optimized: one at a time.
+    for text in EACH {
+        for (class, again) in [("rate-push", true), ("booking-import", false)] {
+            play(SETTINGS, class, "rate-push", again, &(say(), Then::Flood(text), Fate::Doubtful), 5_000);
+        }
+    }
+    table(&[(say(), Then::Trickle(EACH[2]), Fate::Late)], 1_000);
+    // Some are no harm.
+    table(&[(EACH.concat().repeat(30) + &done("t1"), Then::Next, Fate::Served)], 5_000);
+}
