Tests, next hops: bounds by the wall clock only keep a test from hanging

Found by reading, one of them known to fail under load: a probe had 500 ms for two exchanges and a new connection; a first attempt 45 ms, in which the runtime was itself blocked in a read without end; and an end was looked for after 32 turns of the loop. Where the time is not the matter it is now 20 s, which only keeps a test from hanging; the attempt that has to be too late has a connection time of 1 s, its four cases run side by side; the end is waited for, with nothing of the rest sent meanwhile. How long a probe is waited for is checked as before, by waits_for_connections_stay_within_the_grace_and_idle_ones_close_early. Planted, and found: a late request told as one that never connected ('left == right' failed: false 0, and the three others), and a probe on a kept connection that does not ask again.

--- a/crates/net/src/hop/tests.rs
+++ b/crates/net/src/hop/tests.rs
@@ -131,10 +131,10 @@
         read(&mut fresh);
         fresh.write_all(answer).unwrap();
     });
-    let (connect, idle) = (Duration::from_secs(2), Duration::from_secs(2));
+    // How long a probe is waited for is another test's: here it only keeps the test from hanging.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     runtime.block_on(async {
-        let hop = alone(&address, Keeping { connect, idle, probe: PROBE, most_idle: 2 });
+        let hop = alone(&address, Keeping { connect: SOON, idle: SOON, probe: SOON, most_idle: 2 });
         for _ in 0..2 {
             let (status, report) = hop.probe().await;
             assert_eq!((status, report.and_then(|r| r.free_slots)), (Status::Ok, Some(2.0)));
@@ -157,7 +157,8 @@
     go: std::sync::mpsc::Sender<()>,
 }
 
-const SOON: Duration = Duration::from_secs(5);
+/// It only keeps tests from hanging, on a machine that has other things to do.
+const SOON: Duration = Duration::from_secs(20);
 
 fn worker() -> (Worker, Seen) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -642,8 +643,11 @@
             let (_, drive) = hop.branch(&job("a", 9), SOON, false, heard.clone()).unwrap();
             let task = tokio::spawn(drive);
             seen.told("said it").await;
-            settle().await;
             // It is told before anything of the rest has come.
+            let start = Instant::now();
+            while heard.ends().is_empty() && start.elapsed() < SOON {
+                settle().await;
+            }
             assert_eq!(heard.ends(), std::slice::from_ref(ending), "{first}");
             seen.go();
             timeout(SOON, task).await.expect("no end").unwrap();
@@ -888,36 +892,30 @@
 #[test]
 fn what_could_not_be_written_in_its_time_is_not_written_at_all() {
     use std::io::{ErrorKind, Read, Write};
-    for (kept, body) in [(false, 0), (false, 9), (true, 0), (true, 9)] {
+    let each = |(kept, body)| {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap().to_string();
-        let connect = Duration::from_millis(20);
+        // Long enough for the first one, and for a connection to come up once the runtime looks again.
+        let connect = Duration::from_secs(1);
         let hop = alone(&address, Keeping { connect, idle: SOON, probe: SOON, most_idle: 2 });
         play(async {
             let mut stream = None;
             if kept {
-                let first = Out::start(&hop, &job("t0", body), false);
-                settle().await;
-                let mut accepted = listener.accept().unwrap().0;
-                assert!(accepted.read(&mut [0; 4096]).unwrap() > 0);
-                accepted.write_all(done("t0").as_bytes()).unwrap();
-                while first.ends.try_recv().is_err() {
-                    tokio::time::sleep(Duration::from_millis(1)).await;
-                }
+                let other = listener.try_clone().unwrap();
+                let answers = tokio::task::spawn_blocking(move || {
+                    let mut accepted = other.accept().unwrap().0;
+                    read_request(&mut accepted);
+                    accepted.write_all(done("t0").as_bytes()).unwrap();
+                    accepted
+                });
+                assert_eq!(Out::start(&hop, &job("t0", body), false).end().await, served("t0"));
+                stream = Some(answers.await.unwrap());
                 settle().await;
-                stream = Some(accepted);
             }
             let late = Out::start(&hop, &job("t1", body), false);
             // Nothing runs meanwhile.
             std::thread::sleep(connect + LATE + Duration::from_millis(20));
-            let mut end = late.ends.try_recv();
-            for _ in 0..2_000 {
-                if end.is_err() {
-                    tokio::time::sleep(Duration::from_millis(1)).await;
-                    end = late.ends.try_recv();
-                }
-            }
-            assert_eq!(end.map(|(end, _)| end), Ok(Ending::NotTried), "{kept} {body}");
+            assert_eq!(late.end().await, (Ending::NotTried, None), "{kept} {body}");
             let mut stream = stream.unwrap_or_else(|| listener.accept().unwrap().0);
             stream.set_read_timeout(Some(SOON)).unwrap();
             let came = stream.read(&mut [0; 4096]);
@@ -925,5 +923,10 @@
                 || came.as_ref().is_err_and(|e| e.kind() == ErrorKind::ConnectionReset);
             assert!(nothing, "{kept} {body}: {came:?}");
         });
-    }
+    };
+    std::thread::scope(|scope| {
+        for case in [(false, 0), (false, 9), (true, 0), (true, 9)] {
+            scope.spawn(move || each(case));
+        }
+    });
 }
