Tests: a drain right after a watch was reset is heard from the next watch or call

Until now only the tests of reconnects covered a watch that is reset just before a drain. Here the watch is reset (SO_LINGER 0) before its head, in it, while it stands, in the middle of a list, or over a list that can't be read; the list changes after the reset and before anybody who calls anew is answered. One or two watches are reset in a row, and the whole list or the changes tell of it, where lists are asked for and where they are pushed. Jobs come all the while: none is new at the worker 500 ms after the drain counts as told (pushed: changed; asked: written), and jobs go on at the other. What was held, holds: nothing is mended.

Seen to fail, each planted: an agent called again after 0.7 s: "automatic, Unanswered, 1 resets, whole true: sent to a worker that drains, after the grace, left: 39, right: 0"; what that list tells dropped: no "w1 Draining" in the routes; no call after a break: "nobody calls again". Of many dispatchers one takes a part of two workers and need not use both, so the plays are those of one dispatcher.

--- a/crates/net/tests/watches.rs
+++ b/crates/net/tests/watches.rs
@@ -6,7 +6,7 @@
 use pumiceway_rig::{Peer, SETTINGS, Stage};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
@@ -459,3 +459,157 @@
     stage.until_listed("w1", "Gone");
     stage.go_on(&served("e", "w2", "t3"));
 }
+
+/// Nothing new goes to a worker that drains later than this after it was told.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// What its workers have had, and when.
+type Had = Arc<Mutex<Vec<(&'static str, Instant)>>>;
+
+/// A worker that has done each job at once.
+fn works(name: &'static str, listener: TcpListener, had: &Had) {
+    let had = had.clone();
+    listener.set_nonblocking(false).unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (had, mut peer) = (had.clone(), Peer::new(stream.unwrap()));
+            std::thread::spawn(move || {
+                while peer.message().is_ok() {
+                    had.lock().unwrap().push((name, Instant::now()));
+                    peer.send("done yes");
+                }
+            });
+        }
+    });
+}
+
+/// Where its watch has come when it is reset.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Cut {
+    Unanswered,
+    Head,
+    Open,
+    Line,
+    /// What came last can't be read, so that a call for the whole list comes first.
+    Nonsense,
+}
+
+const CUTS: [Cut; 5] = [Cut::Unanswered, Cut::Head, Cut::Open, Cut::Line, Cut::Nonsense];
+
+// Guards against a drain that falls between two watches: it is told by the first list of the new one, or by the call
+// after that if the new one is reset too, and not missed, nor heard so late that something new is sent to the worker.
+#[test]
+fn a_drain_right_after_a_watch_was_reset_is_heard_from_the_next() {
+    // One of many takes but a part of what two workers can do, and may leave one of them alone.
+    let plays =
+        [("subscribe", 1), ("subscribe", 2), ("automatic", 1), ("automatic", 2)].map(|(lists, resets)| {
+            std::thread::spawn(move || {
+                for (cut, whole) in CUTS.into_iter().flat_map(|cut| [(cut, true), (cut, false)]) {
+                    drained_behind(lists, cut, resets, whole);
+                }
+            })
+        });
+    for play in plays {
+        play.join().unwrap();
+    }
+}
+
+/// `resets` watches are reset in a row, then the next one is told, with the whole list or with what has changed.
+fn drained_behind(lists: &str, cut: Cut, resets: usize, whole: bool) {
+    let what = format!("{lists}, {cut:?}, {resets} resets, whole {whole}");
+    let settings = settings(lists, 10_000, 1);
+    let mut stage = Stage::with_settings(&["w1", "w2", "w3", "discovery"], None, &settings);
+    let (discovery, had) = (stage.take("discovery"), Had::default());
+    let ports = ["w1", "w2"].map(|hop| {
+        let port = stage.port(hop);
+        works(hop, stage.take(hop), &had);
+        port
+    });
+    let at = move |w1: &str| [line("w1", ports[0], w1), line("w2", ports[1], "ready")];
+    let drain = match whole {
+        true => listing(9, true, &at("draining")),
+        false => listing(9, false, &at("draining")[..1]),
+    };
+    let mut watch = called(&discovery, SOON).unwrap();
+    match cut {
+        Cut::Unanswered => {}
+        Cut::Head => watch.peer.send("raw HTTP/1.1 200 OK\\r\\nTransfer-Enc"),
+        Cut::Open | Cut::Line | Cut::Nonsense => {
+            // It stands when what it tells is seen.
+            watch.peer.send("200");
+            watch.peer.send(&format!("+ {}", listing(2, false, &[line("w3", 1, "gone")])));
+            stage.until_listed("w3", "Gone");
+        }
+    }
+    if cut == Cut::Line {
+        watch.peer.send(&chunk(drain.split_at(drain.find("draining").unwrap() + 3).0));
+    }
+    let (mut sent, mut client) = (0, Peer::new(TcpStream::connect(stage.http).unwrap()));
+    let mut job = || {
+        sent += 1;
+        client.send(&format!("POST /rate-push/k t{sent} 5000 x"));
+        client.expect("200 yes").unwrap_or_else(|e| panic!("{what}: {e}"));
+    };
+    // Its worker is in use, with a connection that is kept.
+    let begun = Instant::now();
+    while !had.lock().unwrap().iter().any(|h| h.0 == "w1") {
+        job();
+        assert!(begun.elapsed() < SOON, "{what}: the worker is never used");
+    }
+    let reset = |call: Call| {
+        socket2::SockRef::from(&call.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    };
+    if cut == Cut::Nonsense {
+        // Read, as it is given up for it.
+        watch.peer.send("+ nonsense");
+        while watch.open() {
+            assert!(begun.elapsed() < SOON, "{what}: the watch is kept");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+    reset(watch);
+    // From here on the list has changed; who calls now is told so.
+    let changed = Instant::now();
+    let mut answers = Some(std::thread::spawn(move || {
+        let mut first = None;
+        for _ in 1..resets {
+            let call = called(&discovery, SOON).expect("nobody calls again");
+            first = first.or(Some(call.asked.clone()));
+            reset(call);
+        }
+        let mut call = called(&discovery, SOON).expect("nobody calls again");
+        let told = Instant::now();
+        if call.asked.contains("stream=1") {
+            call.peer.send("200");
+            call.peer.send(&format!("+ {drain}"));
+        } else {
+            call.peer.send(&format!("json {}", listing(9, true, &at("draining"))));
+        }
+        (first.unwrap_or(call.asked.clone()), told, call, discovery)
+    }));
+    // Jobs come all the while, and for some time after the grace.
+    let mut heard = None;
+    let from = loop {
+        if let Some(ended) = answers.take_if(|a| a.is_finished()) {
+            heard = Some(ended.join().unwrap());
+        }
+        // What an agent has counts as told.
+        let told = heard.as_ref().map(|(_, told, ..)| if lists == "automatic" { changed } else { *told });
+        if let Some(told) = told.filter(|told| told.elapsed() > GRACE * 3 / 2) {
+            break told + GRACE;
+        }
+        job();
+        std::thread::sleep(Duration::from_millis(3));
+    };
+    let path = match cut {
+        Cut::Nonsense => "GET /api/targets ",
+        Cut::Unanswered | Cut::Head => "GET /api/targets?stream=1&index=1 ",
+        Cut::Open | Cut::Line => "GET /api/targets?stream=1&index=2 ",
+    };
+    assert!(heard.as_ref().is_some_and(|h| h.0.starts_with(path)), "{what}: asked otherwise");
+    stage.until_listed("w1", "Draining");
+    let had = had.lock().unwrap();
+    let late = |hop| had.iter().filter(|h| h.0 == hop && h.1 > from).count();
+    assert_eq!(late("w1"), 0, "{what}: sent to a worker that drains, after the grace");
+    assert!(late("w2") > 0, "{what}: nothing goes to the other");
+}
