Tests: an answer half written at the close arrives whole; who never reads delays nothing

The largest result goes to a client whose system, and ours, take in 4 KiB; the front is told to close when the head has come and most of the rest can't have been written. It arrives whole, with its end, when the client reads slowly, reads nothing for 1.3 s first (longer than an end is waited for), or leaves the last KiB until the front has ended. A client that never reads holds up the front for 11 s at most, and another one has its answer meanwhile.

--- a/crates/net/tests/endings.rs
+++ b/crates/net/tests/endings.rs
@@ -36,7 +36,15 @@
 impl Door {
     /// A front that has not begun to accept connections before `before` has returned.
     fn after(inbound: usize, spare: usize, before: impl FnOnce(SocketAddr, &watch::Sender<bool>)) -> Door {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        Door::on(std::net::TcpListener::bind("127.0.0.1:0").unwrap(), inbound, spare, before)
+    }
+
+    fn on(
+        listener: std::net::TcpListener,
+        inbound: usize,
+        spare: usize,
+        before: impl FnOnce(SocketAddr, &watch::Sender<bool>),
+    ) -> Door {
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap();
         let (close, closing) = watch::channel(false);
@@ -386,3 +394,105 @@
         assert!(end.is_ok() || end.as_ref().is_err_and(reset), "{end:?}");
     }
 }
+
+/// The systems' buffers on both sides, as small as they get.
+const SMALL: usize = 4 << 10;
+/// The largest result.
+const RESULT: usize = 64 << 10;
+
+/// A front whose answers hardly fit into the systems' buffers.
+fn narrow() -> Door {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    // What is accepted has the same.
+    socket2::SockRef::from(&listener).set_send_buffer_size(SMALL).unwrap();
+    Door::on(listener, 8, 2, |_, _| {})
+}
+
+/// A client that takes little in before it reads.
+fn narrow_client(address: SocketAddr) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(SMALL).unwrap();
+    socket.connect(&address.into()).unwrap();
+    let stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+/// A client whose answer is half written: it has the head, and the systems hold less than the rest.
+fn half_answered(door: &mut Door, id: &str, result: &str) -> TcpStream {
+    let mut stream = narrow_client(door.address);
+    stream.write_all(request(id, "x").as_bytes()).unwrap();
+    let client = door.held();
+    client.answer.send(Answer::Served(result.to_owned().into())).unwrap();
+    something_came(&stream);
+    stream
+}
+
+/// When a client stops reading for a while.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Rests {
+    Never,
+    /// Longer than an end is waited for, with the answer half written.
+    First,
+    /// Up to the end of the front, with the end of the answer in the systems' buffers.
+    Last,
+}
+
+// Guards against the end of an answer that is lost as the process stops while its client is still reading.
+#[test]
+fn an_answer_that_is_half_written_at_the_close_arrives_whole() {
+    let result = "y".repeat(RESULT - 1) + "z";
+    for rests in [Rests::Never, Rests::First, Rests::Last] {
+        let mut door = narrow();
+        let mut stream = half_answered(&mut door, "t1", &result);
+        door.close.send(true).unwrap();
+        // The front has taken in that it is to close when whoever comes is refused.
+        let told = Instant::now();
+        while TcpStream::connect(door.address).is_ok() {
+            assert!(told.elapsed() < PATIENCE, "it doesn't close");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        if rests == Rests::First {
+            std::thread::sleep(Duration::from_millis(1_300));
+            assert!(!door.thread.as_ref().unwrap().is_finished(), "it ended with an answer half written");
+        }
+        let (mut text, mut part) = (Vec::new(), [0; 512]);
+        loop {
+            if rests == Rests::Last && text.len() >= RESULT - 1_024 {
+                door.thread.take().into_iter().for_each(|thread| thread.join().unwrap());
+            }
+            match stream.read(&mut part) {
+                Ok(0) => break,
+                Ok(n) => text.extend_from_slice(&part[..n]),
+                Err(e) => panic!("{rests:?}: after {} bytes: {e}", text.len()),
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        let text = String::from_utf8(text).unwrap();
+        assert!(text.starts_with("HTTP/1.1 200"), "{rests:?}: {text:.100}");
+        assert!(text.ends_with(&format!("\r\n\r\n{result}")), "{rests:?}: {} bytes", text.len());
+        drop(stream);
+        door.thread.take().into_iter().for_each(|thread| thread.join().unwrap());
+        door.heard_nothing_more();
+    }
+}
+
+// Guards against a client that never reads its answer holding up the end, or the answers of others at the close.
+#[test]
+fn a_client_that_never_reads_its_answer_holds_up_the_close_for_a_bounded_time() {
+    let result = "y".repeat(RESULT);
+    let mut door = narrow();
+    let silent = half_answered(&mut door, "t1", &result);
+    let answered = Instant::now();
+    let mut reads = narrow_client(door.address);
+    reads.write_all(request("t2", "x").as_bytes()).unwrap();
+    let other = door.held();
+    door.close.send(true).unwrap();
+    other.answer.send(Answer::Served("2".into())).unwrap();
+    assert!(to_the_end(&reads).ends_with("\r\n\r\n2"));
+    drop(reads);
+    door.ended();
+    // Ten seconds for an answer, one for its end.
+    assert!(answered.elapsed() < Duration::from_millis(11_500), "{:?}", answered.elapsed());
+    drop(silent);
+}
