Where nobody may be asked, late starts tell of workers that were never heard of

Each send was logged with the belief of its worker (a trial on a scratch copy): of 10,371 sends from 10 to 12 s 10,358 went to workers with report_at == 0, believed use 0.00, while mean_use was 0.93.

Lines at fault: validity.rs others_now, 'blind': where nobody may be asked, a worker that has not reported to us counts as empty, though others have and the mean is known. 300 dispatchers and 170 workers never hear of most.

Mend, only where nobody may be asked and instances outnumber workers: such a worker is known by the mean, and is full at half of it, as the mean does not tell which one has room; a start, prompt or late, steps the mean; it fades over 2 s in which nothing tells of it, so nothing is taken for full for good. Learning of running times and of a kind's slots, sums and averages both, stands in state.rs now, unchanged.

--- a/crates/decisions/src/policy/belief.rs
+++ b/crates/decisions/src/policy/belief.rs
@@ -11,11 +11,6 @@
 const LATE_DOUBLINGS: u32 = 2;
 /// First and longest wait before a worker that failed is tried again.
 const RETRIAL: (Micros, Micros) = (250_000, 4_000_000);
-/// A kind's slots are the mean of reports with this share of them free; the step to a report, and to one that
-/// has a lot more.
-const NEARLY_FREE: f64 = 0.85;
-const SLOTS_STEP: f64 = 0.1;
-const MORE_SLOTS: (f64, f64) = (1.4, 0.3);
 /// Mean running times after which a report says little of the present.
 const REPORT_LIVES: f64 = 3.0;
 /// The pace of a worker is averaged over this time (µs); that of all by this step.
@@ -25,6 +20,8 @@
 /// the mean worker ends for the same use runs jobs 2.5 times as long or longer, or others have its cores.
 const IN_USE: f64 = 0.3;
 const SLOW: f64 = 0.4;
+/// What a prompt and a late start tell of the mean worker's use, at least; and the step to it.
+const STARTS: (f64, f64, f64) = (0.3, 1.5, 0.2);
 /// More errors than this share, and twice the others', tell of a worker; and the step to an answer.
 const ERRORS: f64 = 0.1;
 pub(super) const ERRORS_STEP: f64 = 0.2;
@@ -111,7 +108,12 @@
         let Some(r) = self.m.requests.get(&id) else { return };
         let Some(a) = r.attempts.get(attempt).filter(|a| a.fate == Fate::Out && !a.started) else { return };
         let room = self.slots_of(self.m.w(worker), r) - self.m.w(worker).own;
-        let (sent, slots, w) = (a.sent, r.slots, self.m.wm(worker));
+        let (sent, slots, zone, late) = (a.sent, r.slots, a.zone, a.late);
+        if now <= sent + prompt && !late && self.unseen(self.m.w(worker)) {
+            let mean = &mut self.m.mean_use[zone.0];
+            mean.step(now, mean.share.min(STARTS.0), STARTS.2);
+        }
+        let w = self.m.wm(worker);
         w.unstarted.retain(|&at| at != sent);
         if now <= sent + prompt {
             w.late = 0;
@@ -121,22 +123,24 @@
         }
     }
 
+    /// Prevents: where nobody may be asked, a burst fills the queues of all workers before the first answers,
+    /// and reports with them, tell of it. A start that is late tells at once.
+    pub(super) fn on_late_starts(&mut self, now: Micros) {
+        let (tell, prompt) = (self.s.tells_start && !self.asks() && self.many(), self.prompt());
+        for zone in tell.then(|| self.m.late_starts(now, prompt)).into_iter().flatten() {
+            let mean = &mut self.m.mean_use[zone.0];
+            mean.step(now, mean.share.max(STARTS.1), STARTS.2);
+        }
+    }
+
     pub(super) fn on_report(&mut self, now: Micros, worker: WorkerId, report: Report) {
         let mean_slots = self.m.mean_slots;
         let trust = (-self.m.report_period / (REPORT_LIVES * self.m.mean_run)).exp();
         let cold = self.cold_age(now, self.m.w(worker)).is_some();
         let thin = self.thin();
+        let kind = self.m.w(worker).kind;
+        let (known, slots) = self.m.learn_slots(kind, report.free_slots);
         let w = &mut self.m.workers[worker.0 as usize];
-        let slots = &mut self.m.kind_slots[w.kind.0];
-        let known = *slots > 0.0;
-        // Prevents: one noisy report of many makes every worker of its kind look larger than it is, for good.
-        match report.free_slots {
-            Some(free) if !known => *slots = free,
-            Some(free) if free > MORE_SLOTS.0 * *slots => *slots += MORE_SLOTS.1 * (free - *slots),
-            Some(free) if free > NEARLY_FREE * *slots => *slots += SLOTS_STEP * (free - *slots),
-            _ => {}
-        }
-        let slots = *slots;
         let apart = now.saturating_sub(w.report_at) as f64;
         if let (Some(rate), Some(busy)) = (report.rate, report.busy) {
             w.health.step(rate, busy, catch_up(apart, PACE));
@@ -151,13 +155,14 @@
             let busy = (slots - free + report.waiting.unwrap_or(0.0)).max(held);
             let seen = (busy - w.own_average).max(0.0);
             let mean_use = &mut self.m.mean_use[w.zone.0];
-            *mean_use += 0.05 * ((seen / slots.max(1.0)).min(2.0) - *mean_use);
+            mean_use.step(now, (seen / slots.max(1.0)).min(2.0), 0.05);
+            let mean = mean_use.share * slots;
             // Prevents: what a report showed before others took it is counted as room. What is as old as a
             // job tells of little but the mean. Not where instances outnumber workers: there a job that takes
             // a whole worker would never find one, and slots to spare make up for what has changed.
             let believed = match cold || thin {
                 true => seen,
-                false => *mean_use * slots + trust * (seen - *mean_use * slots),
+                false => mean + trust * (seen - mean),
             };
             w.others += if thin { 1.0 } else { weight } * (believed - w.others);
         }
--- a/crates/decisions/src/policy/life.rs
+++ b/crates/decisions/src/policy/life.rs
@@ -12,9 +12,6 @@
 pub(super) const FULL_PAUSE: Micros = 1_000_000;
 /// How long a limit to unused connections, learnt from a lost job, is believed.
 const IDLE_LIMIT_HOLDS: Micros = 20_000_000;
-/// Weight of a new sample in the running means; and how many first ones are averaged instead.
-const LEARN: f64 = 0.03;
-const FIRST: u32 = 30;
 
 impl Balancer {
     pub(super) fn on_request(&mut self, now: Micros, e: Incoming, out: &mut Vec<Action>) {
@@ -68,7 +65,7 @@
                 if self.m.classes[class].served > 0 {
                     *pace += LEARN * (ran as f64 / expected - *pace);
                 }
-                self.learn(now, class, latency as f64);
+                self.m.learn(now, class, latency as f64, self.s.classes[class].wait.is_some());
             }
             Status::Full => self.m.wm(worker).full_until = now + FULL_PAUSE,
             Status::ConnectFailed | Status::Reset => self.suspect(now, worker, out),
@@ -97,32 +94,6 @@
         self.serve_held(now, out);
     }
 
-    /// Prevents: a guess that is far off is believed for hundreds of requests. Of the first ones the short
-    /// have ended, so those still out count with the time they have taken: total time over those ended.
-    fn learn(&mut self, now: Micros, class: usize, latency: f64) {
-        let out = |r: &Request| -> Micros {
-            let open = r.attempts.iter().filter(|a| a.fate == Fate::Out);
-            open.map(|a| now.saturating_sub(a.sent)).sum()
-        };
-        // Not where jobs wait for as long as the aim is believed to be met: there the aim is a fair guess,
-        // and the simulator loses 0.04 with this.
-        let waits = self.s.classes[class].wait.is_some();
-        let belief = &mut self.m.classes[class];
-        belief.served = belief.served.saturating_add(1);
-        belief.run += LEARN * (latency - belief.run);
-        self.m.mean_run += LEARN * (latency - self.m.mean_run);
-        belief.first += latency;
-        if waits && belief.served <= FIRST {
-            let open: Micros = self.m.requests.values().filter(|r| r.class.0 == class).map(out).sum();
-            belief.run = (belief.first + open as f64) / f64::from(belief.served);
-        }
-        let served = |c: &ClassBelief| f64::from(c.served);
-        let all: f64 = self.m.classes.iter().map(served).sum();
-        if waits && all <= f64::from(FIRST) {
-            self.m.mean_run = self.m.classes.iter().map(|c| c.run * served(c)).sum::<f64>() / all;
-        }
-    }
-
     /// The final answer for a request that will not be served.
     pub(super) fn give_up(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         // Prevents: clients that were refused together come back together.
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -99,6 +99,10 @@
 
     /// Instances outnumber workers: none sees much of any worker, and what reports show others see as well.
     fn thin(&self) -> bool {
-        self.asks() && self.tags.iter().all(|t| t.script.len() < self.s.instances)
+        self.asks() && self.many()
+    }
+
+    fn many(&self) -> bool {
+        self.tags.iter().all(|t| t.script.len() < self.s.instances)
     }
 }
--- a/crates/decisions/src/policy/probes.rs
+++ b/crates/decisions/src/policy/probes.rs
@@ -67,6 +67,7 @@
         });
         self.m.watched = watched;
         self.refresh(now, out);
+        self.on_late_starts(now);
         self.find_overdue(now);
         self.send_copies(now, out);
         self.serve_held(now, out);
--- a/crates/decisions/src/policy/validity.rs
+++ b/crates/decisions/src/policy/validity.rs
@@ -8,6 +8,8 @@
 pub(super) const FADES: f64 = 2_000_000.0;
 /// A job may lack so much of a slot of what is believed free: belief is a mean, and slots come whole.
 const NEARLY: f64 = 0.5;
+/// Known by the mean alone, a worker in use to this share is taken to be full: which one has room is not known.
+const HALF: f64 = 0.5;
 /// A worker back from failure is left to safe requests, unless none has come for this long.
 const TRIAL_OF_SAFE: Micros = 10_000_000;
 
@@ -75,13 +77,27 @@
     fn others_now(&self, now: Micros, w: &Worker, total: f64) -> f64 {
         // The turns leave a cold worker nearly empty. And prevents: where nobody reports, a guess that
         // nothing can correct keeps all work from workers that stand idle.
-        let blind = w.report_at == 0 && (!self.asks() || self.unreported(w));
+        let unseen = self.unseen(w);
+        let blind = w.report_at == 0 && !unseen && (!self.asks() || self.unreported(w));
         let empty = blind || self.cold_age(now, w).is_some();
-        let mean = if empty { 0.0 } else { total * self.m.mean_use[w.zone.0] };
+        let mean = self.m.mean_use[w.zone.0];
+        let mean = match empty {
+            true => 0.0,
+            // Prevents: a fleet that was full is taken for full for good, as nothing is sent that would tell.
+            false if unseen => (total - NEARLY) * mean.share / HALF * mean.fade(now, FADES),
+            false => total * mean.share,
+        };
         let age = now.saturating_sub(w.report_at) as f64;
         mean + (w.others - mean) * (-age / FADES).exp()
     }
 
+    /// Where nobody may be asked and instances outnumber workers, most are known by the mean of those that
+    /// reported. Prevents: each worker that has not reported to us is taken for empty, and a burst finds so
+    /// many of them that it fills all their queues.
+    pub(super) fn unseen(&self, w: &Worker) -> bool {
+        !self.asks() && self.many() && self.m.kind_slots[w.kind.0] > 0.0
+    }
+
     /// Prevents: until the first reports come, all that a large fleet is handed is held and then refused.
     pub(super) fn unreported(&self, w: &Worker) -> bool {
         self.thin() && self.m.kind_slots[w.kind.0] == 0.0
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -46,8 +46,8 @@
     pub(crate) gap: f64,
     pub(crate) probe_time: f64,
     pub(crate) probe_credit: f64,
-    /// Share of its slots that others use of the mean worker, a figure for each zone.
-    pub(crate) mean_use: Vec<f64>,
+    /// What others use of the mean worker of each zone.
+    pub(crate) mean_use: Vec<MeanUse>,
     /// The mean worker that reports.
     pub(crate) health: Health,
 }
@@ -128,6 +128,14 @@
     pub(crate) unstarted: Vec<Micros>,
 }
 
+/// A kind's slots are the mean of reports with this share of them free; the step to a report, and to one that
+/// has a lot more.
+const NEARLY_FREE: f64 = 0.85;
+const SLOTS_STEP: f64 = 0.1;
+const MORE_SLOTS: (f64, f64) = (1.4, 0.3);
+/// Weight of a new sample in the running means; and how many first ones are averaged instead.
+pub(crate) const LEARN: f64 = 0.03;
+const FIRST: u32 = 30;
 /// Others' use of a worker is averaged over this time: one job's length would chase noise.
 pub(crate) const OTHERS_SMOOTHING: f64 = 1_000_000.0;
 
@@ -164,6 +172,8 @@
     /// When it was last heard of; and whether its slots were freed, its answer being overdue.
     pub(crate) heard: Micros,
     pub(crate) overdue: bool,
+    /// Whether its start was told late, or not yet though it should have been.
+    pub(crate) late: bool,
     /// How long our connections to the worker had been unused when it was sent.
     pub(crate) idle: Micros,
 }
@@ -211,7 +221,7 @@
             gap: 1_000_000.0,
             probe_time: 10_000.0,
             probe_credit,
-            mean_use: vec![0.5; settings.zones.max(1)],
+            mean_use: vec![MeanUse { share: 0.5, at: 0 }; settings.zones.max(1)],
             rates: vec![(0.0, 0); settings.tenants.len()],
             ..Memory::default()
         }
@@ -225,6 +235,54 @@
         *rate
     }
 
+    /// Prevents: a guess that is far off is believed for hundreds of requests. Of the first ones the short
+    /// have ended, so those still out count with the time they have taken: total time over those ended. Not where jobs
+    /// wait for as long as the aim is believed to be met: there the aim is a fair guess, and the simulator loses 0.04.
+    pub(crate) fn learn(&mut self, now: Micros, class: usize, latency: f64, waits: bool) {
+        let out = |r: &Request| -> Micros {
+            let open = r.attempts.iter().filter(|a| a.fate == Fate::Out);
+            open.map(|a| now.saturating_sub(a.sent)).sum()
+        };
+        let belief = &mut self.classes[class];
+        belief.served = belief.served.saturating_add(1);
+        belief.run += LEARN * (latency - belief.run);
+        self.mean_run += LEARN * (latency - self.mean_run);
+        belief.first += latency;
+        if waits && belief.served <= FIRST {
+            let open: Micros = self.requests.values().filter(|r| r.class.0 == class).map(out).sum();
+            belief.run = (belief.first + open as f64) / f64::from(belief.served);
+        }
+        let served = |c: &ClassBelief| f64::from(c.served);
+        let all: f64 = self.classes.iter().map(served).sum();
+        if waits && all <= f64::from(FIRST) {
+            self.mean_run = self.classes.iter().map(|c| c.run * served(c)).sum::<f64>() / all;
+        }
+    }
+
+    /// Takes in what a report says of the slots of its kind. Prevents: one noisy report of many makes every worker of its
+    /// kind look larger than it is, for good.
+    /// Whether they were known, and what they are now.
+    pub(crate) fn learn_slots(&mut self, kind: KindId, free: Option<f64>) -> (bool, f64) {
+        let slots = &mut self.kind_slots[kind.0];
+        let known = *slots > 0.0;
+        match free {
+            Some(free) if !known => *slots = free,
+            Some(free) if free > MORE_SLOTS.0 * *slots => *slots += MORE_SLOTS.1 * (free - *slots),
+            Some(free) if free > NEARLY_FREE * *slots => *slots += SLOTS_STEP * (free - *slots),
+            _ => {}
+        }
+        (known, *slots)
+    }
+
+    /// Zones of the jobs that should have told of their start by now and have not, each told once.
+    pub(crate) fn late_starts(&mut self, now: Micros, prompt: Micros) -> Vec<ZoneId> {
+        let awake = self.awake;
+        let attempts = self.requests.values_mut().flat_map(|r| &mut r.attempts);
+        let waits = |a: &&mut Attempt| a.fate == Fate::Out && !a.started && !a.late;
+        let late = attempts.filter(waits).filter(|a| now > a.sent.max(awake) + prompt);
+        late.map(|a| (a.late = true, a.zone).1).collect()
+    }
+
     /// Books that an attempt, which has started, was heard of.
     pub(crate) fn hear(&mut self, now: Micros, id: RequestId, attempt: usize) {
         if let Some(a) = self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(attempt)) {
@@ -279,6 +337,7 @@
             began: now,
             heard: now,
             overdue: false,
+            late: false,
             idle,
         });
         self.watch(worker);
@@ -346,6 +405,25 @@
     }
 }
 
+/// Share of its slots that others use of the mean worker, and when anything last told of it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct MeanUse {
+    pub(crate) share: f64,
+    pub(crate) at: Micros,
+}
+
+impl MeanUse {
+    pub(crate) fn step(&mut self, now: Micros, seen: f64, weight: f64) {
+        self.share += weight * (seen - self.share);
+        self.at = now;
+    }
+
+    /// What is left of it by now, where nothing has told of it since, and it fades over this time (µs).
+    pub(crate) fn fade(&self, now: Micros, over: f64) -> f64 {
+        (-(now.saturating_sub(self.at) as f64) / over).exp()
+    }
+}
+
 /// Jobs ended a second, and the share of the cores in use, on the mean.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Health {
