--- a/crates/decisions/src/policy/validity.rs
+++ b/crates/decisions/src/policy/validity.rs
@@ -8,7 +8,7 @@
 pub(super) const FADES: f64 = 2_000_000.0;
 /// A job may lack so much of a slot of what is believed free: belief is a mean, and slots come whole.
 const NEARLY: f64 = 0.5;
-/// Known by the mean alone, a worker in use to this share is taken to be full: which one has room is not known.
+/// Known by the mean alone, a worker in use to this share counts as full: the mean names none that has room.
 const HALF: f64 = 0.5;
 /// A worker back from failure is left to safe requests, unless none has come for this long.
 const TRIAL_OF_SAFE: Micros = 10_000_000;
