Decisions: large fleets where nobody may be asked are told in one place

Reading the whole change again: '!asks() && many()' stood in belief.rs and validity.rs, now once as unasked(); late_starts booked and told in a tuple, now in two statements; the comment on learn_slots said what it returns after why.

Looked at and left: scenes of tests that begin alike, settings of unlike deployments, and steps of two averages that hold different figures.

--- a/crates/decisions/src/policy/belief.rs
+++ b/crates/decisions/src/policy/belief.rs
@@ -126,7 +126,7 @@
     /// Prevents: where nobody may be asked, a burst fills the queues of all workers before the first answers,
     /// and reports with them, tell of it. A start that is late tells at once.
     pub(super) fn on_late_starts(&mut self, now: Micros) {
-        let (tell, prompt) = (self.s.tells_start && !self.asks() && self.many(), self.prompt());
+        let (tell, prompt) = (self.s.tells_start && self.unasked(), self.prompt());
         for zone in tell.then(|| self.m.late_starts(now, prompt)).into_iter().flatten() {
             let mean = &mut self.m.mean_use[zone.0];
             mean.step(now, mean.share.max(STARTS.1), STARTS.2);
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -102,6 +102,11 @@
         self.asks() && self.many()
     }
 
+    /// The same where nobody may be asked.
+    fn unasked(&self) -> bool {
+        !self.asks() && self.many()
+    }
+
     fn many(&self) -> bool {
         self.tags.iter().all(|t| t.script.len() < self.s.instances)
     }
--- a/crates/decisions/src/policy/validity.rs
+++ b/crates/decisions/src/policy/validity.rs
@@ -95,7 +95,7 @@
     /// reported. Prevents: each worker that has not reported to us is taken for empty, and a burst finds so
     /// many of them that it fills all their queues.
     pub(super) fn unseen(&self, w: &Worker) -> bool {
-        !self.asks() && self.many() && self.m.kind_slots[w.kind.0] > 0.0
+        self.unasked() && self.m.kind_slots[w.kind.0] > 0.0
     }
 
     /// Prevents: until the first reports come, all that a large fleet is handed is held and then refused.
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -259,9 +259,8 @@
         }
     }
 
-    /// Takes in what a report says of the slots of its kind. Prevents: one noisy report of many makes every worker of its
-    /// kind look larger than it is, for good.
-    /// Whether they were known, and what they are now.
+    /// Takes in what a report says of the slots of its kind; tells whether they were known, and what they are now.
+    /// Prevents: one noisy report of many makes every worker of its kind look larger than it is, for good.
     pub(crate) fn learn_slots(&mut self, kind: KindId, free: Option<f64>) -> (bool, f64) {
         let slots = &mut self.kind_slots[kind.0];
         let known = *slots > 0.0;
@@ -280,7 +279,11 @@
         let attempts = self.requests.values_mut().flat_map(|r| &mut r.attempts);
         let waits = |a: &&mut Attempt| a.fate == Fate::Out && !a.started && !a.late;
         let late = attempts.filter(waits).filter(|a| now > a.sent.max(awake) + prompt);
-        late.map(|a| (a.late = true, a.zone).1).collect()
+        let tell = |a: &mut Attempt| {
+            a.late = true;
+            a.zone
+        };
+        late.map(tell).collect()
     }
 
     /// Books that an attempt, which has started, was heard of.
