Core: a list of endpoints is used only under a lease that discovery confirms

Cause: the list in a configuration, of unknown age, was believed until discovery answered, up to 5 s after a start; what has changed since it was written counts as notified from the first moment of a process. Class: membership used beyond its validity.

decisions::rules decides, for the decisions and once more for the core before it acts, what may be sent, repeated or refused now: the endpoint's state, the lease on its list, earlier attempts, class, window and group. What the core has to deny is counted and logged, and an attempt's first byte is written by the end of the lease or not at all. Until a list is confirmed nothing is sent or probed and the process is not ready; after 5 s it reports ready all the same and answers busy.

Found by the new checks: a worker that had left, and whose job broke with it, was probed.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -226,6 +226,13 @@
         /// What it tells.
         news: RouteNews,
     },
+    /// The same from where the source was before a new configuration: it confirms nothing any more.
+    FormerRoutes {
+        /// Who tells.
+        source: Source,
+        /// What it tells.
+        news: RouteNews,
+    },
     /// The configuration has been read, at the start or again.
     Configured {
         /// Where discovery is.
@@ -264,6 +271,8 @@
         left: Micros,
         /// On a connection of its own.
         fresh: bool,
+        /// No byte of it is written after this time, if given.
+        not_after: Option<Micros>,
     },
     /// Stop waiting for a branch, and close its connection; nothing comes back.
     Cut {
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -9,6 +9,7 @@
     self, Action, Incoming, ListKind, Note, Outcome, Probed, Progress, RequestId,
 };
 use pumiceway_decisions::api::{Settings, SettingsError};
+use pumiceway_decisions::rules::{self, Denial, EarlierAttempt, Fate, LeaseTerms};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// A branch is not waited for up to the client's deadline, nor an answer: they must arrive before it.
@@ -28,13 +29,18 @@
 const WAKE_LEAST: Micros = 1_000;
 /// How long kept connections are distrusted after one was found dead.
 const DISTRUST: Micros = 30_000_000;
+/// A dispatcher whose list nobody confirms reports that it is ready after this time all the same: it then answers with
+/// a busy answer whatever comes, and is not taken for one that did not start.
+const READY_WITHOUT_LIST: Micros = 5_000_000;
 /// Advice to come back where the module was not asked; never longer than clients heed.
 const COME_BACK: Micros = 1_000_000;
 
 /// All that a dispatcher knows.
 pub struct Core {
     balancer: Balancer,
-    max_attempts: usize,
+    settings: Settings,
+    /// Choices of the decisions that the rules did not permit, and that were not carried out.
+    denied: BTreeMap<Denial, u64>,
     /// The deadline of each class; and whether its jobs may run once only.
     longest: Vec<Micros>,
     once: Vec<bool>,
@@ -55,6 +61,7 @@
     kept: Kept,
     timers: BTreeSet<(Micros, Timer)>,
     wake_at: Option<Micros>,
+    lease_at: Option<Micros>,
     alarm: Option<Micros>,
     drain: Drain,
     fronts_closed: bool,
@@ -71,6 +78,10 @@
     Transaction(RequestId),
     Wake,
     Crossed,
+    /// A lease may have expired.
+    Lease,
+    /// The process reports that it is ready even without a list.
+    Ready,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -93,11 +104,7 @@
     job: Arc<Job>,
     identity: Option<Identity>,
     tickets: Vec<Ticket>,
-    /// Where each attempt went.
-    attempts: Vec<WorkerId>,
-    out: usize,
-    /// An attempt that is over may have run.
-    ran: bool,
+    attempts: Vec<EarlierAttempt>,
     answered: bool,
 }
 
@@ -109,6 +116,18 @@
     until: Micros,
 }
 
+impl Open {
+    /// An attempt is out.
+    fn is_out(&self) -> bool {
+        self.attempts.iter().any(|a| a.fate == Fate::Out)
+    }
+
+    /// An attempt may have had an effect, or may yet.
+    fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(|a| a.fate != Fate::NeverRan)
+    }
+}
+
 /// For as long as a client may wait for its answer, or next hops know repeats of its job.
 fn spent_for(class: &api::Class) -> Option<Micros> {
     match class.effect {
@@ -122,7 +141,7 @@
     /// A core that knows no next hop yet.
     pub fn new(settings: Settings, seed: u64, retention: Retention) -> Result<Core, SettingsError> {
         Ok(Core {
-            max_attempts: settings.max_attempts,
+            denied: BTreeMap::new(),
             distrust_until: 0,
             once: settings.classes.iter().map(|c| c.effect == api::Effect::Unsafe).collect(),
             longest: settings.classes.iter().map(|c| c.deadline).collect(),
@@ -131,7 +150,8 @@
             // Prevents: where all deadlines are short, the end comes before connections are closed.
             forced: FORCED_AFTER
                 + settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0).min(FORCED_DEADLINE),
-            balancer: Balancer::new(settings, seed)?,
+            balancer: Balancer::new(settings.clone(), seed)?,
+            settings,
             routes: RouteSet::default(),
             discovery: None,
             transactions: BTreeMap::new(),
@@ -143,6 +163,7 @@
             kept: Kept::new(retention),
             timers: BTreeSet::new(),
             wake_at: None,
+            lease_at: None,
             alarm: None,
             drain: Drain::Serving,
             fronts_closed: false,
@@ -155,6 +176,8 @@
     /// Takes one event in, and says what is to be done, in this order.
     pub fn reduce(&mut self, now: Micros, event: Event) -> Vec<Effect> {
         let mut out = Vec::new();
+        // First: what has expired by now permits nothing that the event would set going.
+        self.review_leases(now, &mut out);
         match event {
             Event::Submitted { ticket, transaction } => self.submitted(now, ticket, transaction, &mut out),
             Event::Left { ticket } => self.left(now, ticket),
@@ -166,7 +189,10 @@
                     self.tell(api::Event::Probed(Probed { worker: hop, status, latency, report }));
                 }
             }
-            Event::Routes { source, news } => self.routes(source, news, &mut out),
+            Event::Routes { source, news } => self.routes(now, source, news, true, &mut out),
+            Event::FormerRoutes { source, news } => {
+                self.routes(now, source, news, false, &mut out);
+            }
             Event::Configured { discovery, index, needs_restart } => {
                 if !needs_restart.is_empty() {
                     let what = "keys of the configuration changed, which takes a restart";
@@ -174,6 +200,10 @@
                 }
                 // Prevents: a configuration that changes nothing here drops a watch that stands.
                 if let Some(address) = discovery.filter(|d| self.discovery.as_ref() != Some(d)) {
+                    if self.discovery.is_none() {
+                        self.timers.insert((now + READY_WITHOUT_LIST, Timer::Ready));
+                    }
+                    self.routes.set_terms(now, Source::Discovery, LeaseTerms::of(&self.settings));
                     self.discovery = Some(address.clone());
                     out.push(Effect::WatchAt { address, index });
                 }
@@ -197,6 +227,7 @@
             self.drain = Drain::Over;
             out.push(Effect::Exit);
         }
+        self.arm_lease(now);
         let first = self.timers.first().map(|(at, _)| *at);
         if let Some(at) = first.filter(|_| first != self.alarm) {
             out.push(Effect::Alarm { at });
@@ -210,7 +241,7 @@
         let mut classes = vec![(0, 0); self.longest.len()];
         for open in self.transactions.values().filter(|o| !o.answered) {
             classes[open.class.0].0 += 1;
-            classes[open.class.0].1 += usize::from(open.out > 0);
+            classes[open.class.0].1 += usize::from(open.is_out());
         }
         Overview { classes, hops: self.routes.hops().cloned().collect(), kept: self.kept.len() }
     }
@@ -252,12 +283,23 @@
                 }
             }
             Action::Refuse { request, retry_after } => {
-                self.answer(now, request, Answer::Busy { retry_after }, out);
+                let open = self.transactions.get(&request).filter(|o| !o.answered);
+                let may_refuse = open.is_none_or(|open| self.permission(now, open).refuse);
+                if may_refuse {
+                    self.answer(now, request, Answer::Busy { retry_after }, out);
+                } else {
+                    self.deny(Denial::MayHaveRun, out);
+                    self.answer(now, request, Answer::Failed("not done in time"), out);
+                }
             }
             Action::Fail { request } => self.answer(now, request, Answer::Failed("not done in time"), out),
             Action::Probe { worker } => {
                 let probe = self.next_id();
-                if let Some(reach) = self.routes.reach(worker).cloned() {
+                if let Err(denial) = self.routes.permission(now, worker) {
+                    self.deny(denial, out);
+                    let (status, report) = (Status::Moot, None);
+                    self.tell(api::Event::Probed(Probed { worker, status, latency: 0, report }));
+                } else if let Some(reach) = self.routes.reach(worker).cloned() {
                     self.probes.insert(probe, (worker, now));
                     out.push(Effect::Probe { hop: worker, probe, reach });
                 }
@@ -287,25 +329,77 @@
     ) {
         let reach = self.routes.reach(hop).cloned();
         let branch = BranchId(self.next_id());
+        let permission = self.may_send(now, request, hop);
+        let (zone, cell) = self.routes.place(hop);
         let Some(open) = self.transactions.get_mut(&request) else { return };
         let attempt = open.attempts.len();
-        open.attempts.push(hop);
-        open.out += 1;
+        open.attempts.push(EarlierAttempt { endpoint: hop, zone, cell, sent: now, fate: Fate::Out });
         let end = open.deadline.saturating_sub(BRANCH_MARGIN);
         let until = timeout.filter(|&t| t > 0).map_or(end, |t| end.min(now + t));
         let (class, job) = (open.class, open.job.clone());
-        // Prevents: a send for what is over, or past its attempts, reaches a next hop.
-        let moot = open.answered || until <= now || attempt >= self.max_attempts;
+        let permission = if until <= now { Err(Denial::DeadlinePassed) } else { permission };
         self.branches.insert(branch, Branch { request, attempt, hop, sent: now, until });
-        match reach {
-            Some(reach) if !moot => {
+        match (reach, permission) {
+            (Some(reach), Ok(not_after)) => {
                 self.timers.insert((until, Timer::Branch(branch)));
                 let left = open.deadline.saturating_sub(now).min(until - now);
                 // Prevents: a job that may run once only is lost with a connection that was dropped unseen.
                 let fresh = now < self.distrust_until && self.once[class.0];
-                out.push(Effect::Start { branch, attempt, hop, reach, class, job, left, fresh });
+                out.push(Effect::Start { branch, attempt, hop, reach, class, job, left, fresh, not_after });
+            }
+            (_, permission) => {
+                if let Err(denial) = permission {
+                    self.deny(denial, out);
+                }
+                self.close_branch(now, branch, Status::Moot, None);
             }
-            _ => self.close_branch(now, branch, Status::Moot, None),
+        }
+    }
+
+    /// Whether a request may be sent to an endpoint now, and until when its first byte may be written.
+    fn may_send(&self, now: Micros, request: RequestId, hop: WorkerId) -> Result<Option<Micros>, Denial> {
+        let open = self.transactions.get(&request).filter(|o| !o.answered).ok_or(Denial::RequestOver)?;
+        let (zone, cell) = self.routes.place(hop);
+        self.permission(now, open).send_to(zone, cell)?;
+        self.routes.permission(now, hop)
+    }
+
+    /// What the rules permit for a request.
+    fn permission(&self, now: Micros, open: &Open) -> rules::Permission {
+        rules::permission(now, &self.settings, open.class, open.attempts.iter().copied())
+    }
+
+    /// Counts a choice that the rules do not permit. The decisions ask the same rules, so each is a fault of theirs, save
+    /// where an answer or the end of a request's time has crossed the choice.
+    fn deny(&mut self, denial: Denial, out: &mut Vec<Effect>) {
+        let count = self.denied.entry(denial).or_default();
+        *count += 1;
+        if !matches!(denial, Denial::RequestOver | Denial::DeadlinePassed) {
+            let detail = format!("{denial} ({count} so far)");
+            out.push(Effect::Warn { what: "the rules do not permit a choice of the decisions", detail });
+        }
+    }
+
+    /// Tells the decisions where a list has become usable, or is not any more.
+    fn review_leases(&mut self, now: Micros, out: &mut Vec<Effect>) {
+        let Some(listed) = self.routes.review(now) else { return };
+        let valid = self.routes.any_valid(now);
+        if !valid {
+            let what = "no endpoint list is confirmed: nothing is sent until one is";
+            out.push(Effect::Warn { what, detail: format!("{} endpoints", listed.len()) });
+        }
+        self.pending.push_back(Told::List(ListKind::Whole, listed));
+        if valid && !self.ready {
+            self.ready = true;
+            out.push(Effect::Ready);
+        }
+    }
+
+    /// Sees to it that the expiry of a lease is noticed; one that is renewed meanwhile is looked at again then.
+    fn arm_lease(&mut self, now: Micros) {
+        if self.lease_at.is_none() {
+            self.lease_at = self.routes.next_expiry(now);
+            self.timers.extend(self.lease_at.map(|at| (at, Timer::Lease)));
         }
     }
 
@@ -317,8 +411,7 @@
         self.timers.remove(&(until, Timer::Branch(branch)));
         let mut closed = true;
         if let Some(open) = self.transactions.get_mut(&request) {
-            open.out -= 1;
-            open.ran |= !status.never_ran();
+            open.attempts[attempt].fate = if status.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
             closed = open.answered;
         }
         let latency = now.saturating_sub(sent);
@@ -335,7 +428,7 @@
     }
 
     fn forget(&mut self, request: RequestId) {
-        if self.transactions.get(&request).is_some_and(|o| o.answered && o.out == 0)
+        if self.transactions.get(&request).is_some_and(|o| o.answered && !o.is_out())
             && let Some(open) = self.transactions.remove(&request)
         {
             // Prevents: where nothing may be called off, an id that comes again is out twice at once.
@@ -393,8 +486,6 @@
                 identity: t.identity,
                 tickets: vec![ticket],
                 attempts: vec![],
-                out: 0,
-                ran: false,
                 answered: false,
             },
         );
@@ -458,7 +549,7 @@
     fn spend(&mut self, now: Micros, request: RequestId) {
         let Some(open) = self.transactions.get(&request).filter(|o| o.identity.is_none()) else { return };
         let time = self.spent_for.get(open.class.0).copied().flatten();
-        if let Some(time) = time.filter(|_| open.ran || open.out > 0) {
+        if let Some(time) = time.filter(|_| open.may_have_run()) {
             self.spent.keep(now + time, &open.job.id);
         }
     }
@@ -535,20 +626,23 @@
         self.close_branch(now, branch, status, report);
     }
 
-    fn routes(&mut self, source: Source, news: RouteNews, out: &mut Vec<Effect>) {
-        let told = !matches!(news, RouteNews::WarmCopy(_) | RouteNews::Lost);
+    fn routes(
+        &mut self,
+        now: Micros,
+        source: Source,
+        news: RouteNews,
+        confirms: bool,
+        out: &mut Vec<Effect>,
+    ) {
         // The decisions remember each attempt of a request for as long as it is open here.
         let owed = || {
-            let tried = self.transactions.values().flat_map(|open| open.attempts.iter().copied());
+            let tried = self.transactions.values().flat_map(|open| open.attempts.iter().map(|a| a.endpoint));
             tried.chain(self.probes.values().map(|(hop, _)| *hop)).collect()
         };
-        let Applied { kind, lines, reused } = self.routes.apply(source, news, owed);
+        let Applied { kind, lines, reused } = self.routes.apply(now, source, news, confirms, owed);
         out.extend(reused.into_iter().map(|hop| Effect::Disconnect { hop }));
         self.pending.push_back(Told::List(kind, lines));
-        if !self.ready && (told || self.routes.any_ready()) {
-            self.ready = true;
-            out.push(Effect::Ready);
-        }
+        self.review_leases(now, out);
     }
 
     fn due(&mut self, now: Micros, out: &mut Vec<Effect>) {
@@ -571,6 +665,15 @@
                     self.answer(now, request, Answer::Failed("not done in time"), out);
                     self.tell(api::Event::Gone { request });
                 }
+                Timer::Lease => {
+                    self.lease_at = None;
+                    self.review_leases(now, out);
+                }
+                Timer::Ready => {
+                    if !std::mem::replace(&mut self.ready, true) {
+                        out.push(Effect::Ready);
+                    }
+                }
                 Timer::Crossed => {
                     if let Drain::Crossing { since } = self.drain {
                         self.drain = Drain::Closing { since };
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -1,6 +1,7 @@
 //! The route set: next hops as their sources list them, under the handles that the decisions use.
 
 use pumiceway_decisions::api::{Entry, KindId, ListKind, Micros, WorkerId, WorkerState, ZoneId};
+use pumiceway_decisions::rules::{self, Contact, Denial, Lease, LeaseTerms};
 use std::collections::{HashMap, HashSet};
 
 /// Where to find a next hop.
@@ -69,8 +70,10 @@
     WarmCopy(Vec<NextHop>),
     /// What has changed.
     Changes(Vec<NextHop>),
-    /// It can't be heard; what it listed stands.
-    Lost,
+    /// Nothing has changed.
+    Unchanged,
+    /// It can't be heard; what it listed stands for as long as its lease.
+    Lost(Contact),
 }
 
 /// So many next hops that are gone are remembered, far more than leave while a list may lag behind. Prevents: where
@@ -86,6 +89,52 @@
     left: HashSet<WorkerId>,
     /// How much news has come.
     count: u64,
+    /// How long what each source has listed may be used.
+    leases: Leases,
+    /// Whether each lease was valid when the decisions were last told.
+    usable: Leased<bool>,
+}
+
+/// One of each source.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Leased<T> {
+    discovery: T,
+    gearman: T,
+    zookeeper: T,
+}
+
+type Leases = Leased<Lease>;
+
+impl<T> Leased<T> {
+    fn of(&self, source: Source) -> &T {
+        match source {
+            Source::Discovery => &self.discovery,
+            Source::Gearman => &self.gearman,
+            Source::ZooKeeper => &self.zookeeper,
+        }
+    }
+
+    fn of_mut(&mut self, source: Source) -> &mut T {
+        match source {
+            Source::Discovery => &mut self.discovery,
+            Source::Gearman => &mut self.gearman,
+            Source::ZooKeeper => &mut self.zookeeper,
+        }
+    }
+}
+
+impl Leases {
+    fn valid(&self, now: Micros) -> Leased<bool> {
+        Leased {
+            discovery: self.discovery.valid(now),
+            gearman: self.gearman.valid(now),
+            zookeeper: self.zookeeper.valid(now),
+        }
+    }
+
+    fn all(&self) -> [Lease; 3] {
+        [self.discovery, self.gearman, self.zookeeper]
+    }
 }
 
 struct Place {
@@ -113,18 +162,64 @@
         self.hops.iter().map(|p| &p.line)
     }
 
-    pub(super) fn any_ready(&self) -> bool {
-        self.hops().any(|h| h.state == WorkerState::Ready)
+    /// The lists of this source expire from now on, by these terms, and those of its former address soon.
+    pub(super) fn set_terms(&mut self, now: Micros, source: Source, terms: LeaseTerms) {
+        self.leases.of_mut(source).set_terms(now, terms);
     }
 
-    /// Takes the news in; `owed` names the handles that something may still come for.
+    /// When the next of the leases that are valid expires, if it is not renewed.
+    pub(super) fn next_expiry(&self, now: Micros) -> Option<Micros> {
+        let valid = self.leases.all().into_iter().filter(|lease| lease.valid(now));
+        valid.filter_map(|lease| lease.expires()).min()
+    }
+
+    /// Whether any source has a list that may be used.
+    pub(super) fn any_valid(&self, now: Micros) -> bool {
+        self.leases.all().iter().any(|lease| lease.valid(now))
+    }
+
+    /// Whether what may be used has changed since the decisions were last told; then all that is listed, for them.
+    pub(super) fn review(&mut self, now: Micros) -> Option<Vec<WorkerId>> {
+        let usable = self.leases.valid(now);
+        (std::mem::replace(&mut self.usable, usable) != usable).then(|| self.listed())
+    }
+
+    fn listed(&self) -> Vec<WorkerId> {
+        let listed = (0..self.hops.len()).filter(|&n| self.hops[n].line.state != WorkerState::Gone);
+        listed.map(|n| WorkerId(n as u32)).collect()
+    }
+
+    /// Whether anything new may go to an endpoint, and until when its first byte may be written.
+    pub(super) fn permission(&self, now: Micros, hop: WorkerId) -> Result<Option<Micros>, Denial> {
+        let place = self.hops.get(hop.0 as usize).ok_or(Denial::UnknownEndpoint)?;
+        rules::endpoint_permission(now, place.line.state, self.leases.of(place.source))
+    }
+
+    /// Zone and cell of an endpoint.
+    pub(super) fn place(&self, hop: WorkerId) -> (ZoneId, Option<u64>) {
+        self.hops.get(hop.0 as usize).map(|p| (p.line.zone, p.line.cell)).unwrap_or_default()
+    }
+
+    /// Takes the news in; `owed` names the handles that something may still come for. What a source says at its former
+    /// address renews no lease (`confirms` is false).
     pub(super) fn apply(
         &mut self,
+        now: Micros,
         source: Source,
         news: RouteNews,
+        confirms: bool,
         owed: impl Fn() -> HashSet<WorkerId>,
     ) -> Applied {
         let older = matches!(news, RouteNews::Older(_));
+        let contact = match &news {
+            RouteNews::WarmCopy(_) => None,
+            RouteNews::Lost(contact) => Some(*contact),
+            _ => Some(Contact::Confirmed),
+        };
+        contact
+            .filter(|_| confirms)
+            .into_iter()
+            .for_each(|contact| self.leases.of_mut(source).note(now, contact));
         let (kind, mut lines) = match news {
             RouteNews::Whole(lines) => (ListKind::Whole, lines),
             RouteNews::Older(mut lines) => {
@@ -133,7 +228,10 @@
             }
             RouteNews::WarmCopy(lines) => (ListKind::WarmCopy, lines),
             RouteNews::Changes(lines) => (ListKind::Changes, lines),
-            RouteNews::Lost => return Applied { kind: ListKind::Lost, lines: vec![], reused: vec![] },
+            RouteNews::Unchanged => {
+                return Applied { kind: ListKind::Changes, lines: vec![], reused: vec![] };
+            }
+            RouteNews::Lost(_) => return Applied { kind: ListKind::Lost, lines: vec![], reused: vec![] },
         };
         let whole = kind != ListKind::Changes;
         if whole {
@@ -184,10 +282,7 @@
         self.note_gone();
         if whole {
             // A whole list stands for every source: what the others list is told along with it.
-            changed = (0..self.hops.len())
-                .filter(|&n| self.hops[n].line.state != WorkerState::Gone)
-                .map(|n| WorkerId(n as u32))
-                .collect();
+            changed = self.listed();
         }
         Applied { kind, lines: changed, reused }
     }
@@ -225,14 +320,18 @@
     }
 
     pub(super) fn entry(&self, hop: WorkerId) -> Entry<'_> {
-        let line = &self.hops[hop.0 as usize].line;
+        let Place { source, line, .. } = &self.hops[hop.0 as usize];
+        let state = match line.state {
+            WorkerState::Ready if !self.usable.of(*source) => WorkerState::Unconfirmed,
+            state => state,
+        };
         Entry {
             worker: hop,
             id: &line.name,
             zone: line.zone,
             kind: line.kind,
             cell: line.cell,
-            state: line.state,
+            state,
             ready_at: line.ready_at,
             size: line.size,
             warm: line.warm,
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -239,6 +239,8 @@
 pub enum WorkerState {
     /// Takes work.
     Ready,
+    /// Listed, but nobody has confirmed that the list is current: nothing new goes there.
+    Unconfirmed,
     /// Finishes what it has; nothing new goes there.
     Draining,
     /// Removed.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -107,6 +107,7 @@
 pub mod api;
 mod arith;
 mod policy;
+pub mod rules;
 pub mod settings;
 mod state;
 
--- a/crates/decisions/src/policy/life.rs
+++ b/crates/decisions/src/policy/life.rs
@@ -82,8 +82,7 @@
         } else {
             let r = &self.m.requests[&id];
             if !r.answered && !r.attempts.iter().any(|a| a.fate == Fate::Out) {
-                let allowed = self.allowed(now, r);
-                if !allowed.resend || now >= r.deadline {
+                if self.permission(now, r).send.is_err() || now >= r.deadline {
                     self.give_up(now, id, out);
                 } else if !self.m.held.contains(&id) {
                     self.m.held.push(id);
@@ -100,7 +99,7 @@
         let most = self.s.max_retry_after;
         let retry_after = self.s.retry_after.then(|| self.rng.u64(most / 2..=most));
         let Some(r) = self.m.requests.get(&id).filter(|r| !r.answered) else { return };
-        out.push(match self.allowed(now, r).refuse {
+        out.push(match self.permission(now, r).refuse {
             true => Action::Refuse { request: id, retry_after },
             false => Action::Fail { request: id },
         });
--- a/crates/decisions/src/policy/placement.rs
+++ b/crates/decisions/src/policy/placement.rs
@@ -1,8 +1,9 @@
 //! Placement: the walk of the script, what is held, and in which order that goes.
 
 use super::Balancer;
-use super::validity::{Allowed, FADES};
+use super::validity::FADES;
 use crate::api::*;
+use crate::rules::Permission;
 use crate::state::*;
 
 /// Where instances outnumber workers, those first that keep so many slots free: others see the same report,
@@ -29,7 +30,7 @@
 }
 
 impl Balancer {
-    fn choose(&self, now: Micros, r: &Request, allowed: &Allowed, last: bool) -> Choice {
+    fn choose(&self, now: Micros, r: &Request, permission: &Permission, last: bool) -> Choice {
         let (thin, asks) = (self.thin(), self.asks());
         // Prevents: all attempts of a job go to workers of a lost home zone, one after the other.
         let dark = thin && self.s.my_zone.is_some_and(|zone| self.dark(zone));
@@ -46,7 +47,7 @@
             // Only where reports are younger than jobs: older ones show room that others have taken since.
             let unknown = lively && now as f64 > w.report_at as f64 + FADES;
             let valid = self.starts_now(now, w, r, spare);
-            if !valid && !unknown || !self.able(now, id, r, allowed) {
+            if !valid && !unknown || !self.able(now, id, r, permission) {
                 continue;
             }
             let asked = self.unreported(w) && w.probe_at >= fresh && !w.probe_out;
@@ -68,7 +69,7 @@
         // The followup is seldom open. Prevents: jobs that may wait long fill the queues of all workers, and
         // those that may not, though worth more for a slot's time, never meet a free slot. What finds no room
         // is held, and refused when it is too late to start.
-        let soon = |w| self.able(now, w, r, allowed) && self.starts_soon(now, self.m.w(w), r);
+        let soon = |w| self.able(now, w, r, permission) && self.starts_soon(now, self.m.w(w), r);
         let all = self.tags[r.class.0].script.iter().map(|&(_, w)| w);
         all.filter(|_| last && cross && !thin).find(|&w| soon(w)).map_or(Choice::Nobody, Choice::Send)
     }
@@ -76,11 +77,11 @@
     /// Tries to send; anything but `Send` leaves the request where it is.
     pub(super) fn place(&mut self, now: Micros, id: RequestId, last: bool, out: &mut Vec<Action>) -> Choice {
         let r = &self.m.requests[&id];
-        let allowed = self.allowed(now, r);
-        if !allowed.resend || now >= r.deadline {
+        let permission = self.permission(now, r);
+        if permission.send.is_err() || now >= r.deadline {
             return Choice::Wait;
         }
-        let choice = self.choose(now, r, &allowed, last);
+        let choice = self.choose(now, r, &permission, last);
         match choice {
             Choice::Ask(worker) => {
                 self.m.probe_credit -= 1.0;
--- a/crates/decisions/src/policy/validity.rs
+++ b/crates/decisions/src/policy/validity.rs
@@ -2,6 +2,7 @@
 
 use super::Balancer;
 use crate::api::*;
+use crate::rules::{self, Permission};
 use crate::state::*;
 
 /// Belief about others' use of a worker fades to the fleet's mean over this time.
@@ -13,46 +14,21 @@
 /// A worker back from failure is left to safe requests, unless none has come for this long.
 const TRIAL_OF_SAFE: Micros = 10_000_000;
 
-/// What the rules still allow for a request.
-pub(super) struct Allowed {
-    pub(super) refuse: bool,
-    pub(super) resend: bool,
-    /// Resends only to the group that the worker of this attempt was in.
-    within: Option<(Group, Attempt)>,
-}
-
 impl Balancer {
-    /// The one place that knows what the rules allow for a request that may have run.
-    pub(super) fn allowed(&self, now: Micros, r: &Request) -> Allowed {
-        let mut doubtful = r.attempts.iter().filter(|a| a.fate != Fate::NeverRan);
-        let out = r.attempts.iter().filter(|a| a.fate == Fate::Out).count();
-        let more = r.attempts.len() < self.s.max_attempts && out < 1 + usize::from(self.s.second_copies);
-        let (refuse, resend, within) = match (doubtful.next(), self.s.classes[r.class.0].effect) {
-            (None, _) | (_, Effect::Safe) => (true, more, None),
-            (_, Effect::Unsafe) => (false, false, None),
-            // Prevents: a repeat decided in the window arrives after it, on a connection that comes up late.
-            (Some(first), Effect::Keyed { group, window }) => {
-                let in_time = now + self.s.connect_timeout < first.sent + window;
-                (group == Group::All, more && in_time, Some((group, *first)))
-            }
-        };
-        Allowed { refuse, resend, within }
+    /// What the rules permit for a request.
+    pub(super) fn permission(&self, now: Micros, r: &Request) -> Permission {
+        rules::permission(now, &self.s, r.class, r.attempts.iter().map(Attempt::facts))
     }
 
     /// Whether a worker may be sent this request at all, however full it is.
-    pub(super) fn able(&self, now: Micros, id: WorkerId, r: &Request, allowed: &Allowed) -> bool {
+    pub(super) fn able(&self, now: Micros, id: WorkerId, r: &Request, permission: &Permission) -> bool {
         let w = self.m.w(id);
         let unsafe_now =
             || self.s.classes[r.class.0].effect != Effect::Safe && now < self.m.last_safe + TRIAL_OF_SAFE;
-        let in_group = match allowed.within {
-            None | Some((Group::All, _)) => true,
-            Some((Group::Zone, first)) => w.zone == first.zone,
-            Some((Group::Cell, first)) => w.cell.is_some() && w.cell == first.cell,
-        };
         w.state == WorkerState::Ready
             && w.bad_until.is_none()
             && now >= w.full_until
-            && in_group
+            && permission.send_to(w.zone, w.cell).is_ok()
             && !((w.trial || self.failing(w)) && (w.own_count > 0 || unsafe_now()))
             && !r.attempts.iter().any(|a| a.worker == id && a.fate != Fate::NeverRan)
             && self.cold_room(now, w, r)
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::api::*;
 use crate::arith::{catch_up, mix};
+pub(crate) use crate::rules::{EarlierAttempt, Fate};
 use std::collections::BTreeMap;
 
 /// What a balancer remembers and believes.
@@ -178,12 +179,12 @@
     pub(crate) idle: Micros,
 }
 
-/// What is known of how an attempt ended.
-#[derive(Clone, Copy, PartialEq)]
-pub(crate) enum Fate {
-    Out,
-    NeverRan,
-    MayHaveRun,
+impl Attempt {
+    /// What the rules look at.
+    pub(crate) fn facts(&self) -> EarlierAttempt {
+        let Attempt { worker: endpoint, zone, cell, sent, fate, .. } = *self;
+        EarlierAttempt { endpoint, zone, cell, sent, fate }
+    }
 }
 
 impl Worker {
--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -6,13 +6,14 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use pace::Pace;
 use pumiceway_core::{NextHop, Reach, RouteNews, Source};
 use pumiceway_decisions::api::{Micros, WorkerState};
+use pumiceway_decisions::rules::Contact;
 use pumiceway_decisions::settings::{Conf, Discovery};
 use serde::Deserialize;
 use std::sync::Arc;
@@ -32,6 +33,8 @@
 const AGENT_AGAIN: Duration = Duration::from_millis(400);
 /// Discovery sends a line every 2 s. One that is missing for this long tells that the watch is lost.
 const SILENCE: Duration = Duration::from_millis(2_500);
+/// An empty line says that nothing has changed if nothing else came for this long before it.
+const HEARTBEAT_LEAST: Duration = Duration::from_secs(1);
 /// A value that a watch tells may be this long, and a whole list.
 const LINE_MOST: usize = 4 << 20;
 
@@ -142,11 +145,15 @@
     newest: Option<u64>,
     /// When the watch that stands was answered.
     opened: Option<Instant>,
+    /// When the watch that stands was answered, or last told anything.
+    last_word: Option<Instant>,
 }
 
 enum Broken {
     /// The call or the watch ended.
     Ended(String),
+    /// The service could not be reached, or said that it can't serve.
+    Unreachable(String),
     /// It said something that can't be read: the next call asks for the whole list.
     Malformed(String),
     /// Nobody listens any more.
@@ -162,7 +169,7 @@
         moved: bool,
         tell: mpsc::Sender<(Source, RouteNews)>,
     ) -> Watcher {
-        Watcher { address, conf, index, moved, tell, newest: index, opened: None }
+        Watcher { address, conf, index, moved, tell, newest: index, opened: None, last_word: None }
     }
 
     /// Lists and watches, again and again.
@@ -183,15 +190,14 @@
                 Err(broken) => broken,
             };
             malformed = matches!(broken, Broken::Malformed(_));
-            match broken {
+            let (contact, why) = match broken {
                 Broken::Unheard => return,
-                Broken::Ended(why) | Broken::Malformed(why) => {
-                    let why = cut(&why);
-                    let ms = called.elapsed().as_millis() as u64;
-                    warn!(discovery = self.address, why, ms, "the watch broke")
-                }
-            }
-            if self.tell.send((Source::Discovery, RouteNews::Lost)).await.is_err() {
+                Broken::Unreachable(why) => (Contact::Unreachable(self.again_within(&pace)), why),
+                Broken::Ended(why) | Broken::Malformed(why) => (Contact::Unusable, why),
+            };
+            let (why, ms) = (cut(&why), called.elapsed().as_millis() as u64);
+            warn!(discovery = self.address, why, ms, ?contact, "the watch broke");
+            if self.tell.send((Source::Discovery, RouteNews::Lost(contact))).await.is_err() {
                 return;
             }
             // Prevents: a call that hung counts as a watch that stood, and who hangs is called without backing off.
@@ -213,6 +219,7 @@
         let path = format!("/api/targets?stream=1&index={}", self.index.unwrap_or_default());
         let (_sender, mut body) = self.call(&path).await?;
         self.opened = Some(Instant::now());
+        self.last_word = self.opened;
         // Prevents: a value that trickles in keeps the watch for ever. It is whole within the time of a silence.
         let (mut pieces, mut begun) = (Pieces::default(), Instant::now());
         while let Some(frame) = next(&mut body, begun + SILENCE).await? {
@@ -233,7 +240,11 @@
     /// Takes in a value, or the answer to a call that asked for the whole list.
     async fn heard(&mut self, line: &[u8], asked: bool) -> Result<(), Broken> {
         if line.trim_ascii().is_empty() {
-            return Ok(());
+            // Prevents: an empty line right before or after a value, which is just how that is laid out, confirms what the
+            // value is about to take back.
+            let alone = self.last_word.is_some_and(|at| at.elapsed() >= HEARTBEAT_LEAST);
+            let confirms = !asked && self.index.is_some() && alone;
+            return if confirms { self.tell(RouteNews::Unchanged).await } else { Ok(()) };
         }
         let listing: Listing = serde_json::from_slice(line)
             .map_err(|e| Broken::Malformed(format!("{}:{}: {e}", e.line(), e.column())))?;
@@ -260,7 +271,18 @@
             (true, true) => RouteNews::Older(hops),
             (false, _) => RouteNews::Changes(hops),
         };
-        self.tell.send((Source::Discovery, news)).await.map_err(|_| Broken::Unheard)
+        self.tell(news).await
+    }
+
+    async fn tell(&mut self, news: RouteNews) -> Result<(), Broken> {
+        self.tell.send((Source::Discovery, news)).await.map_err(|_| Broken::Unheard)?;
+        self.last_word = Some(Instant::now());
+        Ok(())
+    }
+
+    /// The time within which the outcome of the next call is known.
+    fn again_within(&self, pace: &Pace) -> Micros {
+        (pace.longest() + self.patience()).as_micros() as Micros
     }
 
     /// How long a call is waited for.
@@ -297,11 +319,11 @@
 type Answer = (SendRequest<Empty<Bytes>>, Incoming);
 
 async fn call(address: String, path: String) -> Result<Answer, Broken> {
-    let ended = |e: &dyn std::fmt::Display| Broken::Ended(format!("cannot connect: {e}"));
-    let stream = TcpStream::connect(&address).await.map_err(|e| ended(&e))?;
+    let unreachable = |e: &dyn std::fmt::Display| Broken::Unreachable(format!("cannot connect: {e}"));
+    let stream = TcpStream::connect(&address).await.map_err(|e| unreachable(&e))?;
     let _ = stream.set_nodelay(true);
     let shaken = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = shaken.map_err(|e| ended(&e))?;
+    let (mut sender, connection) = shaken.map_err(|e| unreachable(&e))?;
     tokio::spawn(connection);
     let request = Request::get(path)
         .header("Host", &address)
@@ -309,8 +331,11 @@
         .map_err(|e| Broken::Ended(format!("cannot ask: {e}")))?;
     match sender.send_request(request).await {
         Ok(answer) if answer.status().is_success() => Ok((sender, answer.into_body())),
+        Ok(answer) if answer.status() == StatusCode::SERVICE_UNAVAILABLE => {
+            Err(Broken::Unreachable(format!("answered {}", answer.status())))
+        }
         Ok(answer) => Err(Broken::Ended(format!("answered {}", answer.status()))),
-        Err(e) => Err(Broken::Ended(format!("call failed: {e}"))),
+        Err(e) => Err(Broken::Unreachable(format!("call failed: {e}"))),
     }
 }
 
--- a/crates/net/src/discovery/zookeeper.rs
+++ b/crates/net/src/discovery/zookeeper.rs
@@ -7,6 +7,7 @@
 use super::{Endpoint, Listing};
 use crate::config::ZooKeeperConfig;
 use pumiceway_core::{RouteNews, Source};
+use pumiceway_decisions::rules::Contact;
 use pumiceway_decisions::settings::Conf;
 use serde_json::Value;
 use std::sync::Arc;
@@ -51,7 +52,7 @@
                 Err(Broken::Unheard) => return,
                 Err(Broken::Failed(why)) => warn!(why, "the session with the ensemble broke"),
             }
-            if self.say(RouteNews::Lost).await.is_err() {
+            if self.say(RouteNews::Lost(Contact::Unusable)).await.is_err() {
                 return;
             }
             sleep(PAUSE.mul_f64(0.5 + fastrand::f64())).await;
@@ -81,7 +82,7 @@
                     (EventType::Session, state) if state.is_terminated() => {
                         return Err(Broken::Failed(format!("session {state:?}")));
                     }
-                    (EventType::Session, _) => self.say(RouteNews::Lost).await?,
+                    (EventType::Session, _) => self.say(RouteNews::Lost(Contact::Unusable)).await?,
                     _ => break,
                 }
             }
--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -73,6 +73,17 @@
     }
 }
 
+/// The terms of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// How long it will be waited for.
+    pub left: Duration,
+    /// On a connection of its own.
+    pub fresh: bool,
+    /// No byte of it is written after this time.
+    pub not_after: Option<Instant>,
+}
+
 /// The client of one next hop. Dropping it closes its idle connections.
 #[derive(Clone)]
 pub struct Hop {
@@ -247,13 +258,12 @@
     pub fn branch<T: Teller>(
         &self,
         job: &Job,
-        left: Duration,
-        fresh: bool,
+        terms: Terms,
         mut teller: T,
     ) -> Result<(Branch, impl Future<Output = ()> + Send + use<T>), hyper::http::Error> {
         let mut request = Request::post(format!("http://{}{}", self.address, job.path))
             .header("X-Txn", &job.id)
-            .header("X-Remaining-Ms", left.as_millis() as u64)
+            .header("X-Remaining-Ms", terms.left.as_millis() as u64)
             .body(Letter::default())?;
         if let Some(key) = &job.repeat_key {
             request.headers_mut().insert("idempotency-key", HeaderValue::from_str(key)?);
@@ -261,8 +271,9 @@
         let branch = Branch::new(&mut request);
         // Its connection may take so long to come up, and all of it no longer.
         let latest = Instant::now() + self.connect + LATE;
+        let latest = terms.not_after.map_or(latest, |not_after| latest.min(not_after));
         *request.body_mut() = Letter::new(job.body.clone(), branch.clone(), Some(latest));
-        let client = if fresh { self.fresh.clone() } else { self.client.clone() };
+        let client = if terms.fresh { self.fresh.clone() } else { self.client.clone() };
         let (id, of) = (job.id.clone(), branch.clone());
         let address = self.address.clone();
         let drive = async move {
--- a/crates/net/src/hop/tests.rs
+++ b/crates/net/src/hop/tests.rs
@@ -47,6 +47,10 @@
 /// Hears how a branch ended.
 struct Ends(std::sync::mpsc::Sender<(Ending, Option<Report>)>);
 
+fn terms(left: Duration, fresh: bool) -> Terms {
+    Terms { left, fresh, not_after: None }
+}
+
 impl Teller for Ends {
     fn news(&self, _: News) {}
 
@@ -105,7 +109,7 @@
     runtime.block_on(async {
         let hop = alone(&address, keeping);
         for (text, ending) in answers {
-            let (_branch, drive) = hop.branch(&job, limit, false, Ends(tell.clone())).unwrap();
+            let (_branch, drive) = hop.branch(&job, terms(limit, false), Ends(tell.clone())).unwrap();
             drive.await;
             assert_eq!(ends.try_recv().unwrap(), (ending, Some(report)), "{text}");
         }
@@ -265,7 +269,7 @@
 impl Out {
     fn start(hop: &Hop, job: &Job, fresh: bool) -> Out {
         let (tell, ends) = std::sync::mpsc::channel();
-        let (branch, drive) = hop.branch(job, SOON, fresh, Ends(tell)).unwrap();
+        let (branch, drive) = hop.branch(job, terms(SOON, fresh), Ends(tell)).unwrap();
         Out { branch, ends, task: tokio::spawn(drive) }
     }
 
@@ -346,7 +350,7 @@
         play(async {
             let hop = hop(&seen.address);
             let (tell, ends) = std::sync::mpsc::channel();
-            let (a, drive) = hop.branch(&job("a", 9), SOON, false, Ends(tell)).unwrap();
+            let (a, drive) = hop.branch(&job("a", 9), terms(SOON, false), Ends(tell)).unwrap();
             let mut drive = std::pin::pin!(drive);
             let mut go_on = async || {
                 let mut over = false;
@@ -428,7 +432,7 @@
             settle().await;
             seen.go();
             let (tell, ends) = std::sync::mpsc::channel();
-            let (_, drive) = hop.branch(&job("b", size), SOON, false, Ends(tell)).unwrap();
+            let (_, drive) = hop.branch(&job("b", size), terms(SOON, false), Ends(tell)).unwrap();
             // From here on the runtime looks at no socket before the request is written.
             seen.told_while_deaf("spoke");
             drive.await;
@@ -538,7 +542,7 @@
         play(async {
             let heard = Heard::default();
             let hop = hop(&seen.address);
-            let (_, drive) = hop.branch(&job("a", 9), SOON, false, heard.clone()).unwrap();
+            let (_, drive) = hop.branch(&job("a", 9), terms(SOON, false), heard.clone()).unwrap();
             let start = Instant::now();
             let over = timeout(SOON, drive).await.is_ok();
             let told = heard.0.lock().unwrap().clone();
@@ -640,7 +644,7 @@
         play(async {
             let heard = Heard::default();
             let hop = hop(&seen.address);
-            let (_, drive) = hop.branch(&job("a", 9), SOON, false, heard.clone()).unwrap();
+            let (_, drive) = hop.branch(&job("a", 9), terms(SOON, false), heard.clone()).unwrap();
             let task = tokio::spawn(drive);
             seen.told("said it").await;
             // It is told before anything of the rest has come.
@@ -705,7 +709,7 @@
                 settle().await;
             }
             let heard = Heard::default();
-            let (branch, drive) = hop.branch(&job("b", 9), SOON, false, heard.clone()).unwrap();
+            let (branch, drive) = hop.branch(&job("b", 9), terms(SOON, false), heard.clone()).unwrap();
             let mut drive = Box::pin(drive);
             assert!(!poll_once(&mut drive.as_mut()).await);
             if !kept {
@@ -1001,7 +1005,7 @@
         let hop = hop(&seen.address);
         for n in 0..REQUESTS {
             let heard = Heard::default();
-            let (_, drive) = hop.branch(&job("a", 9), SOON, false, heard.clone()).unwrap();
+            let (_, drive) = hop.branch(&job("a", 9), terms(SOON, false), heard.clone()).unwrap();
             let task = tokio::spawn(drive);
             seen.told("begun").await;
             let begun = async {
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -7,7 +7,7 @@
 use crate::front::gearman::workers::{Kinds, Workers};
 use crate::front::http::Front;
 use crate::front::{Gate, Heard};
-use crate::hop::{self, Hop, Keeping, Teller};
+use crate::hop::{self, Hop, Keeping, Teller, Terms};
 use pumiceway_core::Ticket;
 use pumiceway_core::{
     Answer, BranchId, Core, Effect, Ending, Event, Job, News, Reach, Retention, RouteNews, Source,
@@ -221,14 +221,17 @@
             tokio::select! {
                 _ = heard.recv_many(&mut batch, BATCH) => shell.take(&mut batch),
                 Some((source, news)) = told.recv() => shell.feed(Event::Routes { source, news }),
-                (source, news) = Watch::news(&mut shell.watch) => shell.feed(Event::Routes { source, news }),
+                (source, news) = Watch::news(&mut shell.watch) => match shell.next_watch {
+                    Some(_) => shell.feed(Event::FormerRoutes { source, news }),
+                    None => shell.feed(Event::Routes { source, news }),
+                },
                 (source, news) = Watch::news(&mut shell.next_watch) => {
                     // Prevents: the old watch is dropped for one that has told nothing yet. Before changes a watch
                     // from nowhere has told an answer to a call for the list, whole or not.
-                    if !matches!(news, RouteNews::Lost) {
+                    if !matches!(news, RouteNews::Lost(_)) {
                         shell.watch = shell.next_watch.take();
-                        shell.feed(Event::Routes { source, news });
                     }
+                    shell.feed(Event::Routes { source, news });
                 }
                 Some(Reload { discovery, needs_restart }) = reloads.recv() => {
                     let discovery = Some(discovery);
@@ -317,7 +320,7 @@
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Start { branch, attempt, hop, reach, class, job, left, fresh } => {
+            Effect::Start { branch, attempt, hop, reach, class, job, left, fresh, not_after } => {
                 let class_name = self.class(class);
                 debug!(transaction = job.id, branch = branch.0, attempt, hop = %reach, class = class_name, "branch out");
                 let address = match (reach, &self.workers) {
@@ -327,7 +330,9 @@
                     }
                     (Reach::Session(_), None) => return self.never_connected(branch),
                 };
-                self.start(branch, hop, &address, &job, Duration::from_micros(left), fresh);
+                let not_after = not_after.map(|at| tokio::time::Instant::from_std(self.clock.instant(at)));
+                let terms = Terms { left: Duration::from_micros(left), fresh, not_after };
+                self.start(branch, hop, &address, &job, terms);
             }
             Effect::Cut { branch } => {
                 debug!(branch = branch.0, outcome = "cut", "branch over");
@@ -387,15 +392,7 @@
         }
     }
 
-    fn start(
-        &mut self,
-        branch: BranchId,
-        hop: WorkerId,
-        address: &str,
-        job: &Job,
-        left: Duration,
-        fresh: bool,
-    ) {
+    fn start(&mut self, branch: BranchId, hop: WorkerId, address: &str, job: &Job, terms: Terms) {
         // Prevents: a next hop is blamed for a connection that there was no descriptor for.
         if self.branches.len() >= self.outbound.1 || !self.make_room() {
             warn!(
@@ -407,7 +404,7 @@
             return self.gate.tell(Event::Ended { branch, ending: Ending::NotTried, report: None });
         }
         let teller = BranchTeller { gate: self.gate.clone(), branch };
-        match self.hop(hop, address).branch(job, left, fresh, teller) {
+        match self.hop(hop, address).branch(job, terms, teller) {
             Ok((line, drive)) => {
                 let task = tokio::spawn(drive).abort_handle();
                 self.branches.insert(branch, (hop, line, task));
