Tests: random, overlapping faults over real processes, judged by the invariants

A fleet of real dispatcher processes, with workers, clients and a discovery of its own for each, all stand-ins. Judged: nothing to a worker that leaves after the grace, one run of what may run once, an answer for each request, nothing for a client that has left, no crash, ready again.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # build, test, lint and run.
 
-.PHONY: build test soak lint run run-gearman console check
+.PHONY: build test soak faults lint run run-gearman console check
 
 build:
 	cargo build --release --locked
@@ -32,3 +32,10 @@
 # real sockets and in the simulator on szeged-budapest and on verband-katalog; in full at every third.
 check:
 	bash .ci/run
+
+# Random, overlapping faults over thirty real processes, a seed after the other; SEEDS=FROM..TO.
+SEEDS ?= 11..21
+faults:
+	cargo build --release --locked
+	FAULT_SEEDS=$(SEEDS) FAULT_PROGRAM=$(CURDIR)/target/release/pumiceway \
+		cargo test --locked -p pumiceway --test faults further -- --nocapture
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod fleet;
 mod hops;
+pub mod processes;
 
 use pumiceway_net::config::{Config, GearmanConfig, Reload, ZooKeeperConfig};
 use pumiceway_net::shell::Dispatcher;
@@ -358,6 +359,19 @@
         Ok(())
     }
 
+    /// Resets the connection.
+    pub fn reset(self) {
+        let _ = socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
+    /// Whether the other side has closed, or has sent what nobody asked for.
+    pub fn closed(&self) -> bool {
+        let _ = self.stream.set_nonblocking(true);
+        let seen = self.stream.peek(&mut [0]);
+        let _ = self.stream.set_nonblocking(false);
+        !matches!(seen, Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Text up to an end.
     pub fn text_to(&mut self, end: &str) -> String {
         while !self.buffer.ends_with(end.as_bytes()) {
