Discovery: a waiting request brings a process's first call forward

Since nothing is sent before a list is confirmed, a restarted process of a large fleet refused what it was sent until its turn to call discovery came, up to 5 s. A request that waits brings the call forward to a draw of half a second at most; idle ones keep their turn, so calls come no faster than requests.

--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -2,9 +2,11 @@
 //! choose an endpoint, and the core once more, at run time, before it carries a choice out.
 //!
 //! The functions are pure: they get the time and the facts, and keep no state but a [`Lease`].
+//!
+//! [`attempts`]: what may be sent again, or refused. [`membership`]: which list of endpoints may be used, and until when.
 
-mod attempts;
-mod membership;
+pub mod attempts;
+pub mod membership;
 
 pub use attempts::{EarlierAttempt, Fate, Group, Permission, RepeatGroup, permission};
 pub use membership::{Contact, Lease, LeaseTerms};
--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 use stream::Pieces;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout_at};
 use tracing::{debug, info, warn};
@@ -139,6 +139,8 @@
     pub index: Option<u64>,
     /// A new configuration has moved the service here.
     pub moved: bool,
+    /// Notified when a request waits for the first list.
+    pub demand: Arc<Notify>,
     /// Who is told.
     pub tell: mpsc::Sender<(Source, RouteNews)>,
     /// The highest version that was told; after a restart of the service the one it is at may be lower.
@@ -169,7 +171,17 @@
         moved: bool,
         tell: mpsc::Sender<(Source, RouteNews)>,
     ) -> Watcher {
-        Watcher { address, conf, index, moved, tell, newest: index, opened: None, last_word: None }
+        Watcher {
+            address,
+            conf,
+            index,
+            moved,
+            demand: Arc::default(),
+            tell,
+            newest: index,
+            opened: None,
+            last_word: None,
+        }
     }
 
     /// Lists and watches, again and again.
@@ -178,7 +190,12 @@
         let mut pace = Pace::of(&self.conf);
         // Prevents: dispatchers that start together call one service together, and most of them wait in vain.
         let draw = fastrand::f64();
-        sleep(if self.moved { pace.first_moved(draw) } else { pace.first(draw) }).await;
+        let turn = if self.moved { pace.first_moved(draw) } else { pace.first(draw) };
+        let demand = self.demand.clone();
+        tokio::select! {
+            () = sleep(turn) => {}
+            () = demand.notified() => sleep(pace.on_demand(fastrand::f64()).min(turn)).await,
+        }
         loop {
             let before = self.index;
             let called = Instant::now();
--- a/crates/net/src/discovery/pace.rs
+++ b/crates/net/src/discovery/pace.rs
@@ -15,6 +15,8 @@
 /// where a new configuration has moved it.
 const TOLD: Duration = Duration::from_secs(6);
 const TOLD_MOVED: Duration = Duration::from_secs(4);
+/// A first call that a request waits for is drawn from this time at most.
+const DEMAND_MOST: Duration = Duration::from_millis(500);
 /// The least wait between a call that has ended and the next.
 const LEAST: Duration = Duration::from_millis(50);
 /// Each failure in a row doubles the time that is drawn from, up to this many times its beginning.
@@ -67,6 +69,14 @@
         self.spread.mul_f64(draw)
     }
 
+    /// The wait before the first call of a process that a request waits in, if its own turn is later.
+    ///
+    /// Prevents: processes that are restarted together refuse what they are sent while they wait for a turn of seconds.
+    /// Those with nothing to send keep their turn, so the calls come no faster than requests do.
+    pub fn on_demand(&self, draw: f64) -> Duration {
+        self.spread.min(DEMAND_MOST).mul_f64(draw)
+    }
+
     /// The wait before the first call at a new address: a new configuration reaches dispatchers one by one, and
     /// the old address soon ends its watches.
     pub fn first_moved(&self, draw: f64) -> Duration {
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -21,7 +21,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{Notify, Semaphore, mpsc, oneshot, watch};
 use tokio::task::{AbortHandle, JoinSet};
 use tracing::{debug, error, info, warn};
 
@@ -90,6 +90,8 @@
 
 /// A watch of a discovery service; ends when dropped.
 struct Watch {
+    /// A request waits for the first list.
+    demand: Arc<Notify>,
     told: mpsc::Receiver<(Source, RouteNews)>,
     _task: JoinSet<()>,
 }
@@ -98,8 +100,10 @@
     fn start(address: String, conf: Arc<Conf>, index: Option<u64>, moved: bool) -> Watch {
         let (tell, told) = mpsc::channel(TOLD);
         let mut task = JoinSet::new();
-        task.spawn(Watcher::new(address, conf, index, moved, tell).run());
-        Watch { told, _task: task }
+        let watcher = Watcher::new(address, conf, index, moved, tell);
+        let demand = watcher.demand.clone();
+        task.spawn(watcher.run());
+        Watch { demand, told, _task: task }
     }
 
     async fn news(watch: &mut Option<Watch>) -> (Source, RouteNews) {
@@ -302,6 +306,7 @@
             Heard::Waiting { ticket, transaction, answer, news } => {
                 let (job, class, since) = (transaction.job.clone(), transaction.class, self.clock.now());
                 self.waiting.insert(ticket, Client { answer, news, job, class, since });
+                self.watch.iter().for_each(|watch| watch.demand.notify_one());
                 self.feed(Event::Submitted { ticket, transaction });
             }
             Heard::Asked(answer) => drop(answer.send(self.core.overview())),
--- a/crates/net/tests/watches.rs
+++ b/crates/net/tests/watches.rs
@@ -270,6 +270,19 @@
     assert!(begun.elapsed() > Duration::from_millis(4_200), "{:?}", begun.elapsed());
 }
 
+// Guards against a process of a large fleet that refuses what it is sent while it waits for its turn to ask for the list.
+#[test]
+fn a_waiting_request_brings_the_first_call_forward() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (watcher, _told) = watcher(&discovery, 300);
+    watcher.demand.notify_one();
+    // A turn of 4.75 s, and one of 0.1 s for a request that waits.
+    draws(watcher, &[0.95, 0.2]);
+    let begun = Instant::now();
+    called(&discovery, SOON).unwrap();
+    assert!(begun.elapsed() < Duration::from_millis(4_000), "{:?}", begun.elapsed());
+}
+
 // Guards against a discovery that tells without end filling the memory of a dispatcher that has other things to do;
 // and against the time in which we did not read counting as its silence.
 #[test]
