Names: request body, attempt observer and bootstrap list say what they are

Letter, Teller and WarmCopy were words of an older house style; they are RequestBody, AttemptObserver and Bootstrap now, and letter.rs is body.rs. No behaviour changes.

--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -67,7 +67,7 @@
     /// restart of its own.
     Older(Vec<NextHop>),
     /// All that it listed before a restart; may be out of date.
-    WarmCopy(Vec<NextHop>),
+    Bootstrap(Vec<NextHop>),
     /// What has changed.
     Changes(Vec<NextHop>),
     /// Nothing has changed.
@@ -212,7 +212,7 @@
     ) -> Applied {
         let older = matches!(news, RouteNews::Older(_));
         let contact = match &news {
-            RouteNews::WarmCopy(_) => None,
+            RouteNews::Bootstrap(_) => None,
             RouteNews::Lost(contact) => Some(*contact),
             _ => Some(Contact::Confirmed),
         };
@@ -226,7 +226,7 @@
                 lines.iter_mut().for_each(|line| self.hold(line));
                 (ListKind::Whole, lines)
             }
-            RouteNews::WarmCopy(lines) => (ListKind::WarmCopy, lines),
+            RouteNews::Bootstrap(lines) => (ListKind::Bootstrap, lines),
             RouteNews::Changes(lines) => (ListKind::Changes, lines),
             RouteNews::Unchanged => {
                 return Applied { kind: ListKind::Changes, lines: vec![], reused: vec![] };
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -40,7 +40,7 @@
         };
         let core = Core::new(settings, 7, Retention::default()).unwrap();
         let mut process = Process { core, now: START, requests: 0, ready: false };
-        process.hears(RouteNews::WarmCopy(vec![endpoint(WorkerState::Ready)]));
+        process.hears(RouteNews::Bootstrap(vec![endpoint(WorkerState::Ready)]));
         process.configured("discovery:1");
         process
     }
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -281,7 +281,7 @@
     /// The whole list.
     Whole,
     /// The whole list as last held before a restart; may be out of date.
-    WarmCopy,
+    Bootstrap,
     /// A call failed or the subscription broke; the old list stands.
     Lost,
 }
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -66,7 +66,7 @@
 
     fn on_list(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         match kind {
-            ListKind::WarmCopy if self.s.list_by_asking => {
+            ListKind::Bootstrap if self.s.list_by_asking => {
                 self.m.ask_at = Some(now + self.rng.u64(0..=self.s.ask_within / 4));
             }
             ListKind::Lost => {
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -370,7 +370,7 @@
     /// Takes in lines of the worker list; a worker that has started anew keeps only what of ours is out there, and one
     /// that has taken another's handle over has nothing of it.
     pub(crate) fn merge(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
-        if matches!(kind, ListKind::Whole | ListKind::WarmCopy) {
+        if matches!(kind, ListKind::Whole | ListKind::Bootstrap) {
             for w in &mut self.workers {
                 (w.listed, w.state) = (false, WorkerState::Gone);
             }
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -89,7 +89,7 @@
             key: None,
             tenant: None,
         };
-        t.event(Event::List { kind: ListKind::WarmCopy, entries: workers });
+        t.event(Event::List { kind: ListKind::Bootstrap, entries: workers });
         for w in workers {
             t.report(w.worker.0, slots);
         }
--- a/crates/net/src/hop/letter.rs
+++ b/crates/net/src/hop/body.rs
@@ -11,16 +11,16 @@
 /// A body in one piece. hyper takes it in, and lets it go at once if it is empty, when it has put the head into its
 /// buffer and has yet to write any of it: at that moment the branch gets its number on the connection.
 #[derive(Default)]
-pub struct Letter {
+pub struct RequestBody {
     content: Option<Bytes>,
     of: Option<Branch>,
     latest: Option<Instant>,
 }
 
-impl Letter {
+impl RequestBody {
     /// The body of a branch's request, that is written by then or not at all.
-    pub fn new(content: Bytes, of: Branch, latest: Option<Instant>) -> Letter {
-        Letter { content: Some(content).filter(|c| !c.is_empty()), of: Some(of), latest }
+    pub fn new(content: Bytes, of: Branch, latest: Option<Instant>) -> RequestBody {
+        RequestBody { content: Some(content).filter(|c| !c.is_empty()), of: Some(of), latest }
     }
 
     /// Prevents: the request of a branch that is over is written to a connection that came up too late for it; and, where
@@ -46,7 +46,7 @@
     }
 }
 
-impl Body for Letter {
+impl Body for RequestBody {
     type Data = Bytes;
     type Error = io::Error;
 
@@ -69,7 +69,7 @@
     }
 }
 
-impl Drop for Letter {
+impl Drop for RequestBody {
     fn drop(&mut self) {
         let _ = self.begin();
     }
--- a/crates/net/src/hop/mod.rs
+++ b/crates/net/src/hop/mod.rs
@@ -1,10 +1,11 @@
 //! Next hops: sync workers reached over HTTP, each through a client of its own.
 
-mod letter;
+mod body;
 mod line;
 mod pace;
 
 use crate::config::Sockets;
+use body::RequestBody;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -13,7 +14,6 @@
 use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
 use hyper_util::client::legacy::{Client, Error};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use letter::Letter;
 use line::{Connector, Cutter};
 use pace::Pace;
 use pumiceway_core::{Ending, Job, News};
@@ -87,9 +87,9 @@
 /// The client of one next hop. Dropping it closes its idle connections.
 #[derive(Clone)]
 pub struct Hop {
-    client: Client<Connector, Letter>,
+    client: Client<Connector, RequestBody>,
     /// Opens a connection for each request.
-    fresh: Client<Connector, Letter>,
+    fresh: Client<Connector, RequestBody>,
     address: String,
     connect: Duration,
     probe: Duration,
@@ -122,7 +122,7 @@
 }
 
 /// Where news of a branch goes, and its one ending.
-pub trait Teller: Send + 'static {
+pub trait AttemptObserver: Send + 'static {
     /// News while it is out.
     fn news(&self, news: News);
     /// Its end.
@@ -148,7 +148,7 @@
 }
 
 impl Branch {
-    fn new(request: &mut Request<Letter>) -> Branch {
+    fn new(request: &mut Request<RequestBody>) -> Branch {
         Branch { captured: capture_connection(request), course: Arc::default() }
     }
 
@@ -170,9 +170,9 @@
         self.course.over.load(Ordering::Relaxed)
     }
 
-    fn tell(&self, teller: &mut impl Teller, ending: Ending, report: Option<Report>) {
+    fn tell(&self, observer: &mut impl AttemptObserver, ending: Ending, report: Option<Report>) {
         if self.end() {
-            teller.ended(ending, report);
+            observer.ended(ending, report);
         }
     }
 
@@ -255,16 +255,16 @@
     }
 
     /// A branch, to be driven by the future; it tells one ending unless it is dropped first.
-    pub fn branch<T: Teller>(
+    pub fn branch<T: AttemptObserver>(
         &self,
         job: &Job,
         terms: Terms,
-        mut teller: T,
+        mut observer: T,
     ) -> Result<(Branch, impl Future<Output = ()> + Send + use<T>), hyper::http::Error> {
         let mut request = Request::post(format!("http://{}{}", self.address, job.path))
             .header("X-Txn", &job.id)
             .header("X-Remaining-Ms", terms.left.as_millis() as u64)
-            .body(Letter::default())?;
+            .body(RequestBody::default())?;
         if let Some(key) = &job.repeat_key {
             request.headers_mut().insert("idempotency-key", HeaderValue::from_str(key)?);
         }
@@ -272,7 +272,7 @@
         // Its connection may take so long to come up, and all of it no longer.
         let latest = Instant::now() + self.connect + LATE;
         let latest = terms.not_after.map_or(latest, |not_after| latest.min(not_after));
-        *request.body_mut() = Letter::new(job.body.clone(), branch.clone(), Some(latest));
+        *request.body_mut() = RequestBody::new(job.body.clone(), branch.clone(), Some(latest));
         let client = if terms.fresh { self.fresh.clone() } else { self.client.clone() };
         let (id, of) = (job.id.clone(), branch.clone());
         let address = self.address.clone();
@@ -284,26 +284,26 @@
             match answer {
                 Ok(answer) if answer.status() == StatusCode::OK => {
                     let mut body = answer.into_body();
-                    let (ending, report) = match follow(&mut body, &id, &mut teller).await {
+                    let (ending, report) = match follow(&mut body, &id, &mut observer).await {
                         Ok(told) => told,
                         Err(why) => {
                             warn!(hop = address, transaction = id, why, "a branch broke in its answer");
                             of.close();
-                            return of.tell(&mut teller, Ending::Reset, None);
+                            return of.tell(&mut observer, Ending::Reset, None);
                         }
                     };
-                    of.tell(&mut teller, ending, report);
+                    of.tell(&mut observer, ending, report);
                     finish(body, &of).await;
                 }
                 Ok(answer) => {
                     // Prevents: whoever waits for the end of a body that says nothing more waits for one without end.
-                    of.tell(&mut teller, refusal(&answer), header_report(&answer));
+                    of.tell(&mut observer, refusal(&answer), header_report(&answer));
                     finish(answer.into_body(), &of).await;
                 }
                 Err(e) => {
                     let ending = broken(&e, &of);
                     warn!(hop = address, transaction = id, outcome = ?ending, why = chain(&e), "a branch broke before its answer");
-                    of.tell(&mut teller, ending, None);
+                    of.tell(&mut observer, ending, None);
                 }
             }
         };
@@ -324,11 +324,11 @@
     }
 
     /// One try to get a load report; with whether its connection had been kept.
-    async fn ask(&self, client: &Client<Connector, Letter>) -> (Status, bool, Option<Report>) {
-        let request = Request::get(format!("http://{}/-/load", self.address)).body(Letter::default());
+    async fn ask(&self, client: &Client<Connector, RequestBody>) -> (Status, bool, Option<Report>) {
+        let request = Request::get(format!("http://{}/-/load", self.address)).body(RequestBody::default());
         let Ok(mut request) = request else { return (Status::ConnectFailed, false, None) };
         let ask = Ask(Branch::new(&mut request));
-        *request.body_mut() = Letter::new(Bytes::new(), ask.0.clone(), None);
+        *request.body_mut() = RequestBody::new(Bytes::new(), ask.0.clone(), None);
         let answer = match client.request(request).await {
             Ok(answer) => answer,
             Err(e) if e.is_connect() => return (Status::ConnectFailed, false, None),
@@ -353,7 +353,7 @@
 async fn follow(
     body: &mut Incoming,
     id: &str,
-    teller: &mut impl Teller,
+    observer: &mut impl AttemptObserver,
 ) -> Result<(Ending, Option<Report>), String> {
     let mut pace = Pace::start(Instant::now());
     let (mut line, mut cost) = (Vec::new(), 0);
@@ -387,14 +387,14 @@
                 State::Started => {
                     pace.take(now, cost)?;
                     if pace.starts() {
-                        teller.news(News::Started);
+                        observer.news(News::Started);
                     }
                     continue;
                 }
                 State::Running { share } => {
                     pace.take(now, cost)?;
                     if pace.shares(now) {
-                        teller.news(News::Share(share));
+                        observer.news(News::Share(share));
                     }
                     continue;
                 }
--- a/crates/net/src/hop/tests.rs
+++ b/crates/net/src/hop/tests.rs
@@ -51,7 +51,7 @@
     Terms { left, fresh, not_after: None }
 }
 
-impl Teller for Ends {
+impl AttemptObserver for Ends {
     fn news(&self, _: News) {}
 
     fn ended(&mut self, ending: Ending, report: Option<Report>) {
@@ -499,7 +499,7 @@
 #[derive(Clone, Default)]
 struct Heard(Arc<std::sync::Mutex<(Vec<News>, Vec<Ending>)>>);
 
-impl Teller for Heard {
+impl AttemptObserver for Heard {
     fn news(&self, news: News) {
         self.0.lock().unwrap().0.push(news);
     }
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -7,7 +7,7 @@
 use crate::front::gearman::workers::{Kinds, Workers};
 use crate::front::http::Front;
 use crate::front::{Gate, Heard};
-use crate::hop::{self, Hop, Keeping, Teller, Terms};
+use crate::hop::{self, AttemptObserver, Hop, Keeping, Terms};
 use pumiceway_core::Ticket;
 use pumiceway_core::{
     Answer, BranchId, Core, Effect, Ending, Event, Job, News, Reach, Retention, RouteNews, Source,
@@ -117,12 +117,12 @@
     }
 }
 
-struct BranchTeller {
+struct AttemptReporter {
     gate: Gate,
     branch: BranchId,
 }
 
-impl Teller for BranchTeller {
+impl AttemptObserver for AttemptReporter {
     fn news(&self, news: News) {
         if matches!(news, News::Started) {
             debug!(branch = self.branch.0, "branch started");
@@ -200,7 +200,7 @@
         let index = config.known.as_ref().map(|known| known.index);
         let known = config.known.unwrap_or_default().hops(&config.conf);
         let listed = known.len();
-        shell.feed(routes(RouteNews::WarmCopy(known)));
+        shell.feed(routes(RouteNews::Bootstrap(known)));
         if config.discovery.is_none() {
             shell.feed(routes(RouteNews::Changes(vec![])));
         }
@@ -408,8 +408,8 @@
             );
             return self.gate.tell(Event::Ended { branch, ending: Ending::NotTried, report: None });
         }
-        let teller = BranchTeller { gate: self.gate.clone(), branch };
-        match self.hop(hop, address).branch(job, terms, teller) {
+        let observer = AttemptReporter { gate: self.gate.clone(), branch };
+        match self.hop(hop, address).branch(job, terms, observer) {
             Ok((line, drive)) => {
                 let task = tokio::spawn(drive).abort_handle();
                 self.branches.insert(branch, (hop, line, task));
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -500,7 +500,7 @@
         let life = (me, i.life);
         let news = match self.plan.planted {
             Some(Planted::BootstrapConfirmed) => RouteNews::Whole(known),
-            _ => RouteNews::WarmCopy(known),
+            _ => RouteNews::Bootstrap(known),
         };
         self.hears(life, Event::Routes { source: Source::Discovery, news });
         let discovery = Some("discovery".to_owned());
