--- a/crates/decisions/src/policy/belief.rs
+++ b/crates/decisions/src/policy/belief.rs
@@ -64,7 +64,7 @@
         if self.m.w(worker).bad_until.is_none() {
             self.m.wm(worker).bad_until = Some(now);
             self.m.watch(worker);
-            // Prevents: a worker that has left, and whose job broke with it, is asked whether it is still there.
+            // Prevents: a worker that has left, and whose job broke with it, is asked for a sign of life.
             if self.m.w(worker).listed && !self.m.w(worker).probe_out {
                 self.probe(now, worker, out);
             }
--- a/crates/decisions/src/rules/attempts.rs
+++ b/crates/decisions/src/rules/attempts.rs
@@ -1,4 +1,5 @@
-//! Whether a request may be sent, once more or to another endpoint, or refused with the promise that it had no effect.
+//! Whether a request may be sent, once more or to another endpoint, or refused with the promise that it
+//! had no effect.
 
 use super::Denial;
 use crate::api::{ClassId, Effect, Micros, Settings, WorkerId, ZoneId};
--- a/crates/decisions/src/rules/membership.rs
+++ b/crates/decisions/src/rules/membership.rs
@@ -2,8 +2,8 @@
 
 use crate::api::{Micros, Settings};
 
-/// A change of the list counts as notified this long after discovery had it and could be reached, whether or not it
-/// arrived.
+/// A change of the list counts as notified this long after discovery had it and could be reached, whether
+/// or not it arrived.
 const NOTIFIED_WITHIN: Micros = 6_000_000;
 /// The same after a new configuration has moved discovery.
 const NOTIFIED_AFTER_MOVE: Micros = 4_000_000;
@@ -13,8 +13,8 @@
 pub enum Contact {
     /// It told a list, a change, or that nothing has changed.
     Confirmed,
-    /// It could not be reached, or said that it can't serve: it has notified nobody. It is asked again, and the outcome of
-    /// that known, within this time.
+    /// It could not be reached, or said that it can't serve: it has notified nobody. It is asked again, and
+    /// the outcome of that known, within this time.
     Unreachable(Micros),
     /// It was reached and told nothing that can be used.
     Unusable,
@@ -40,8 +40,8 @@
 
 /// The lease on what one source has listed.
 ///
-/// A list is used only while it is confirmed. The list in a configuration is not: nobody knows how old it is, and what
-/// has changed since counts as notified from the first moment of a process.
+/// A list is used only while it is confirmed. The list in a configuration is not: nobody knows how old it is,
+/// and what has changed since counts as notified from the first moment of a process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Lease {
     /// `None`: the source is present for as long as it lists anything, and its list does not expire.
--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -1,9 +1,10 @@
-//! What the rules permit now. Everything that sends, repeats or refuses a request asks here: the decisions before they
-//! choose an endpoint, and the core once more, at run time, before it carries a choice out.
+//! What the rules permit now. Everything that sends, repeats or refuses a request asks here: the decisions
+//! before they choose an endpoint, and the core once more, at run time, before it carries a choice out.
 //!
 //! The functions are pure: they get the time and the facts, and keep no state but a [`Lease`].
 //!
-//! [`attempts`]: what may be sent again, or refused. [`membership`]: which list of endpoints may be used, and until when.
+//! [`attempts`]: what may be sent again, or refused. [`membership`]: which list of endpoints may be used, and
+//! until when.
 
 pub mod attempts;
 pub mod membership;
@@ -39,8 +40,8 @@
     ListNotConfirmed,
 }
 
-/// Whether anything new, a request or a probe, may go to an endpoint in this state, on a list held under this lease;
-/// and until when its first byte may be written.
+/// Whether anything new, a request or a probe, may go to an endpoint in this state, on a list held under this
+/// lease; and until when its first byte may be written.
 pub fn endpoint_permission(now: Micros, state: WorkerState, lease: &Lease) -> Result<Option<Micros>, Denial> {
     if state != WorkerState::Ready {
         return Err(Denial::EndpointLeaves);
