--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -101,7 +101,7 @@
                 let kind = match e.how {
                     wire::How::Incr => ListKind::Changes,
                     wire::How::Total => ListKind::Whole,
-                    wire::How::Bootstrap => ListKind::Bootstrap,
+                    wire::How::WarmCopy => ListKind::Bootstrap,
                     wire::How::Lost => ListKind::Lost,
                 };
                 self.balancer.handle(now, Event::List { kind, entries: &entries }, out);
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -60,7 +60,7 @@
 pub enum How {
     Incr,
     Total,
-    Bootstrap,
+    WarmCopy,
     Lost,
 }
 
