--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -41,9 +41,6 @@
     settings: Settings,
     /// Choices of the decisions that the rules did not permit, and that were not carried out.
     denied: BTreeMap<Denial, u64>,
-    /// The deadline of each class; and whether its jobs may run once only.
-    longest: Vec<Micros>,
-    once: Vec<bool>,
     /// Kept connections are not trusted with jobs that may run once only, until then.
     distrust_until: Micros,
     come_back: Option<Micros>,
@@ -54,8 +51,6 @@
     /// Transactions whose answer is owed, by their ids; and ids that must not run again.
     ids: HashMap<String, RequestId>,
     spent: Spent,
-    /// How long that is remembered of a class; `None`: its jobs may run as often as they like.
-    spent_for: Vec<Option<Micros>>,
     branches: BTreeMap<BranchId, Branch>,
     probes: BTreeMap<u64, (WorkerId, Micros)>,
     kept: Kept,
@@ -128,7 +123,8 @@
     }
 }
 
-/// For as long as a client may wait for its answer, or next hops know repeats of its job.
+/// How long the id of a job that may have run is remembered: for as long as a client may wait for its answer, or next
+/// hops know repeats of the job. `None`: it may run as often as it likes.
 fn spent_for(class: &api::Class) -> Option<Micros> {
     match class.effect {
         api::Effect::Safe => None,
@@ -143,9 +139,6 @@
         Ok(Core {
             denied: BTreeMap::new(),
             distrust_until: 0,
-            once: settings.classes.iter().map(|c| c.effect == api::Effect::Unsafe).collect(),
-            longest: settings.classes.iter().map(|c| c.deadline).collect(),
-            spent_for: settings.classes.iter().map(spent_for).collect(),
             come_back: settings.retry_after.then_some(COME_BACK.min(settings.max_retry_after)),
             // Prevents: where all deadlines are short, the end comes before connections are closed.
             forced: FORCED_AFTER
@@ -238,7 +231,7 @@
 
     /// How things stand.
     pub fn overview(&self) -> Overview {
-        let mut classes = vec![(0, 0); self.longest.len()];
+        let mut classes = vec![(0, 0); self.settings.classes.len()];
         for open in self.transactions.values().filter(|o| !o.answered) {
             classes[open.class.0].0 += 1;
             classes[open.class.0].1 += usize::from(open.is_out());
@@ -344,7 +337,8 @@
                 self.timers.insert((until, Timer::Branch(branch)));
                 let left = open.deadline.saturating_sub(now).min(until - now);
                 // Prevents: a job that may run once only is lost with a connection that was dropped unseen.
-                let fresh = now < self.distrust_until && self.once[class.0];
+                let once = self.settings.classes[class.0].effect == api::Effect::Unsafe;
+                let fresh = now < self.distrust_until && once;
                 out.push(Effect::Start { branch, attempt, hop, reach, class, job, left, fresh, not_after });
             }
             (_, permission) => {
@@ -456,7 +450,7 @@
             }
         }
         // Prevents: one client that would wait for a day makes all others look as if they had waited that long.
-        let left = t.left.min(self.longest.get(t.class.0).copied().unwrap_or(t.left));
+        let left = t.left.min(self.settings.classes.get(t.class.0).map_or(t.left, |class| class.deadline));
         let deadline = match self.drain {
             Drain::Crossing { since } | Drain::Closing { since, .. } if now > since + CROSSING => {
                 (now + left).min(since + self.forced.saturating_sub(STOP_ANSWERS))
@@ -548,7 +542,7 @@
     /// The transaction is over: if it may have run, and its class may not at will, its id doesn't run again.
     fn spend(&mut self, now: Micros, request: RequestId) {
         let Some(open) = self.transactions.get(&request).filter(|o| o.identity.is_none()) else { return };
-        let time = self.spent_for.get(open.class.0).copied().flatten();
+        let time = self.settings.classes.get(open.class.0).and_then(spent_for);
         if let Some(time) = time.filter(|_| open.may_have_run()) {
             self.spent.keep(now + time, &open.job.id);
         }
--- a/crates/decisions/src/rules/attempts.rs
+++ b/crates/decisions/src/rules/attempts.rs
@@ -2,9 +2,7 @@
 //! had no effect.
 
 use super::Denial;
-use crate::api::{ClassId, Effect, Micros, Settings, WorkerId, ZoneId};
-
-pub use crate::api::Group;
+use crate::api::{ClassId, Effect, Group, Micros, Settings, WorkerId, ZoneId};
 
 /// What is known of how an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/decisions/src/rules/membership.rs
+++ b/crates/decisions/src/rules/membership.rs
@@ -59,14 +59,10 @@
 }
 
 impl Lease {
-    /// The list expires from now on, by these terms. One that was confirmed before holds as after a move.
+    /// A new configuration says where the source is: its list expires by these terms, and what it told before
+    /// holds no longer than after a move.
     pub fn set_terms(&mut self, now: Micros, terms: LeaseTerms) {
         self.terms = Some(terms);
-        self.moved(now);
-    }
-
-    /// A new configuration has moved the source: what it told before holds no longer than this.
-    pub fn moved(&mut self, now: Micros) {
         if let State::Confirmed { until, .. } = &mut self.state {
             *until = (*until).min(now + NOTIFIED_AFTER_MOVE);
         }
--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -9,7 +9,7 @@
 pub mod attempts;
 pub mod membership;
 
-pub use attempts::{EarlierAttempt, Fate, Group, Permission, RepeatGroup, permission};
+pub use attempts::{EarlierAttempt, Fate, Permission, RepeatGroup, permission};
 pub use membership::{Contact, Lease, LeaseTerms};
 
 use crate::api::{Micros, WorkerState};
--- a/crates/net/tests/watch_log.rs
+++ b/crates/net/tests/watch_log.rs
@@ -3,21 +3,12 @@
 use pumiceway_core::RouteNews;
 use pumiceway_decisions::settings::Conf;
 use pumiceway_net::discovery::Watcher;
-use pumiceway_rig::{Peer, SETTINGS};
+use pumiceway_rig::{Peer, SETTINGS, endpoint_line as line, listing};
 use std::io::Write;
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
 use tokio::sync::mpsc;
 
-/// A line of a list.
-fn line(hop: &str, port: u16, status: &str) -> String {
-    format!(r#"{{"name":"{hop}","address":"127.0.0.1:{port}","zone":"z","type":"k","status":"{status}"}}"#)
-}
-
-fn listing(index: u64, snapshot: bool, lines: &[String]) -> String {
-    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, lines.join(","))
-}
-
 /// What is logged on a thread.
 #[derive(Clone, Default)]
 struct Logged(Arc<Mutex<Vec<String>>>);
--- a/crates/net/tests/watches.rs
+++ b/crates/net/tests/watches.rs
@@ -4,7 +4,7 @@
 use pumiceway_decisions::rules::Contact;
 use pumiceway_decisions::settings::Conf;
 use pumiceway_net::discovery::Watcher;
-use pumiceway_rig::{Peer, SETTINGS, Stage};
+use pumiceway_rig::{Peer, SETTINGS, Stage, endpoint_line as line, listing, serve_each};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -15,15 +15,6 @@
      d expect GET /api/targets?stream=1&index=1
      d send 200";
 
-/// A line of a list.
-fn line(hop: &str, port: u16, status: &str) -> String {
-    format!(r#"{{"name":"{hop}","address":"127.0.0.1:{port}","zone":"z","type":"k","status":"{status}"}}"#)
-}
-
-fn listing(index: u64, snapshot: bool, lines: &[String]) -> String {
-    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, lines.join(","))
-}
-
 /// The same on many lines, for a scenario.
 fn indented(text: &str) -> String {
     text.replace('{', "{\\n  ").replace(",\"", ",\\n  \"").replace('}', "\\n}")
@@ -485,15 +476,10 @@
 fn works(name: &'static str, listener: TcpListener, had: &Had) {
     let had = had.clone();
     listener.set_nonblocking(false).unwrap();
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (had, mut peer) = (had.clone(), Peer::new(stream.unwrap()));
-            std::thread::spawn(move || {
-                while peer.message().is_ok() {
-                    had.lock().unwrap().push((name, Instant::now()));
-                    peer.send("done yes");
-                }
-            });
+    serve_each(listener, move |mut peer| {
+        while peer.message().is_ok() {
+            had.lock().unwrap().push((name, Instant::now()));
+            peer.send("done yes");
         }
     });
 }
--- a/crates/pumiceway/tests/restart.rs
+++ b/crates/pumiceway/tests/restart.rs
@@ -1,10 +1,11 @@
 //! Restarts of the program, as a process of its own: what it may use of the endpoint list in its configuration.
 
-use pumiceway_rig::{Peer, SETTINGS};
-use std::io::{BufRead, BufReader};
+use pumiceway_rig::processes::{Lists, field, is_ready, serve};
+use pumiceway_rig::{Peer, endpoint_line, listing, serve_each};
+use std::ffi::OsStr;
 use std::net::{TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::Child;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
@@ -20,23 +21,12 @@
 
 impl Process {
     /// Starts the program on this configuration and waits until it listens.
-    fn start(config: &PathBuf, gearman: &PathBuf) -> Process {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_pumiceway"))
-            .args(["serve", "--gearman"])
-            .arg(gearman)
-            .env_clear()
-            .env("ROUTER_CONFIG", config)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
-        let listens = log.find_map(|line| line.ok().filter(|l| l.contains(" listens "))).unwrap();
-        std::thread::spawn(move || log.for_each(drop));
-        let field = |name: &str| {
-            let value = listens.split(name).nth(1).unwrap();
-            value.split_whitespace().next().unwrap().to_owned()
-        };
-        Process { child, http: field(" address="), gearman: field(" gearman=") }
+    fn start(config: &Path, gearman: &Path) -> Process {
+        let more = [OsStr::new("--gearman"), gearman.as_os_str()];
+        let (child, listens) = serve(Path::new(env!("CARGO_BIN_EXE_pumiceway")), config, &more);
+        let listens = listens.unwrap();
+        let [http, gearman] = ["address", "gearman"].map(|name| field(&listens, name).unwrap());
+        Process { child, http, gearman }
     }
 
     fn kill(mut self) {
@@ -59,13 +49,6 @@
             std::thread::sleep(Duration::from_millis(2));
         }
     }
-
-    /// Whether it reports that it is ready.
-    fn ready(&self) -> bool {
-        let mut peer = Peer::new(TcpStream::connect(&self.http).unwrap());
-        peer.send("raw GET /-/ready HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n");
-        peer.message().unwrap().starts_with("HTTP/1.1 200")
-    }
 }
 
 impl Drop for Process {
@@ -80,28 +63,15 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let port = listener.local_addr().unwrap().port();
     let (report, requests) = channel();
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (report, mut peer) = (report.clone(), Peer::new(stream.unwrap()));
-            std::thread::spawn(move || {
-                while let Ok(request) = peer.message() {
-                    let _ = report.send(request);
-                    peer.send("done yes");
-                }
-            });
+    serve_each(listener, move |mut peer| {
+        while let Ok(request) = peer.message() {
+            let _ = report.send(request);
+            peer.send("done yes");
         }
     });
     (port, requests)
 }
 
-fn endpoint(name: &str, port: u16, status: &str) -> String {
-    format!(r#"{{"name":"{name}","address":"127.0.0.1:{port}","zone":"z","type":"k","status":"{status}"}}"#)
-}
-
-fn listing(index: u64, snapshot: bool, endpoints: &[String]) -> String {
-    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, endpoints.join(","))
-}
-
 /// The next call to discovery, not yet answered.
 fn call(discovery: &TcpListener) -> Peer {
     let mut peer = Peer::new(discovery.accept().unwrap().0);
@@ -110,13 +80,6 @@
     peer
 }
 
-/// How a deployment tells its lists.
-#[derive(Clone, Copy, Debug)]
-enum Lists {
-    Asked,
-    Pushed,
-}
-
 /// Files of one test, removed when dropped.
 struct Files {
     config: PathBuf,
@@ -131,12 +94,7 @@
             std::fs::write(&path, text).unwrap();
             path
         };
-        let mode = match lists {
-            Lists::Asked => "subscribe",
-            Lists::Pushed => "automatic",
-        };
-        let rules = format!(r#""rules":{{"ask-within-us":10000000}},"discovery":"{mode}","n-instances":1"#);
-        let settings = SETTINGS.replacen(r#""rules":{}"#, &rules, 1);
+        let settings = lists.settings(0, 1);
         let address = discovery.local_addr().unwrap();
         let config = format!(
             r#"{{"listen":"127.0.0.1:0","discovery":"{address}","known":{known},"settings":{settings}}}"#
@@ -160,7 +118,7 @@
     for lists in [Lists::Asked, Lists::Pushed] {
         let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
         let ((old_port, old), (new_port, new)) = (worker(), worker());
-        let known = listing(1, true, &[endpoint("old", old_port, "ready")]);
+        let known = listing(1, true, &[endpoint_line("old", old_port, "ready")]);
         let files = Files::write("restart", lists, &discovery, &known);
 
         // The first life: discovery confirms the list, and the worker on it serves.
@@ -181,9 +139,9 @@
         process.until_open("booking-import", 1);
         let mut watch = call(&discovery);
         let sent_early = old.try_recv().is_ok();
-        let ready_early = process.ready();
+        let ready_early = is_ready(&process.http);
         watch.send("200");
-        let now = [endpoint("old", old_port, "gone"), endpoint("new", new_port, "ready")];
+        let now = [endpoint_line("old", old_port, "gone"), endpoint_line("new", new_port, "ready")];
         watch.send(&format!("+ {}", listing(3, false, &now)));
         assert!(!sent_early, "{lists:?}: sent to a worker of a list that nobody has confirmed");
         assert!(!ready_early, "{lists:?}: ready on a list that nobody has confirmed");
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -334,6 +334,12 @@
     idle: HashMap<usize, Vec<Micros>>,
 }
 
+impl Instance {
+    fn takes_clients(&self) -> bool {
+        self.core.is_some() && self.fronts && self.ready
+    }
+}
+
 /// What a client wants, over all its tries.
 #[derive(Clone, Copy)]
 struct Wish {
@@ -479,9 +485,9 @@
 
     fn start(&mut self, me: usize) {
         let settings = settings(self.plan, me);
-        let pace = match (settings.list_by_asking, self.plan.planted) {
-            (false, _) => Pace::agent(),
-            (true, _) => Pace::new(self.plan.instances, Duration::from_micros(settings.ask_within)),
+        let pace = match settings.list_by_asking {
+            false => Pace::agent(),
+            true => Pace::new(self.plan.instances, Duration::from_micros(settings.ask_within)),
         };
         // A restarted one knows the list as it was told last; the first knows all.
         let told = self.instances[me].told;
@@ -670,13 +676,12 @@
         for _ in 0..self.plan.instances {
             let i = &self.instances[me];
             let known = i.stopping.is_none_or(|since| self.now < since + 300 * MS || self.rng.u32(..4) == 0);
-            if i.core.is_some() && i.fronts && i.ready && known {
+            if i.takes_clients() && known {
                 break;
             }
             me = (me + 1) % self.plan.instances;
         }
-        let i = &self.instances[me];
-        if i.core.is_none() || !i.fronts || !i.ready {
+        if !self.instances[me].takes_clients() {
             return;
         }
         let life = (me, self.instances[me].life);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -250,6 +250,26 @@
     }
 }
 
+/// A line of a list, as discovery words it, of an endpoint at this port.
+pub fn endpoint_line(name: &str, port: u16, status: &str) -> String {
+    format!(r#"{{"name":"{name}","address":"127.0.0.1:{port}","zone":"z","type":"k","status":"{status}"}}"#)
+}
+
+/// A list, or the changes to one, as discovery words it.
+pub fn listing(index: u64, snapshot: bool, lines: &[String]) -> String {
+    format!(r#"{{"index":{index},"snapshot":{snapshot},"endpoints":[{}]}}"#, lines.join(","))
+}
+
+/// Serves each connection to a listener on a thread of its own, for as long as the test runs.
+pub fn serve_each(listener: TcpListener, serve: impl Fn(Peer) + Clone + Send + 'static) {
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(Peer::new(stream)));
+        }
+    });
+}
+
 fn accept(listener: &TcpListener) -> Option<TcpStream> {
     listener.set_nonblocking(true).unwrap();
     let end = Instant::now() + PATIENCE;
--- a/crates/rig/src/processes/discovery.rs
+++ b/crates/rig/src/processes/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery as one dispatcher sees it: it can be down, fall silent, and move to its other address.
 
 use super::workers::Workers;
-use crate::Peer;
+use crate::{Peer, serve_each};
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -50,12 +50,7 @@
         let link = Arc::new(Link { workers, addresses, state: Mutex::new(state) });
         for (number, listener) in listeners.into_iter().enumerate() {
             let link = link.clone();
-            std::thread::spawn(move || {
-                for stream in listener.incoming().map_while(Result::ok) {
-                    let link = link.clone();
-                    std::thread::spawn(move || link.answer(number, Peer::new(stream)));
-                }
-            });
+            serve_each(listener, move |peer| link.answer(number, peer));
         }
         link
     }
--- a/crates/rig/src/processes/mod.rs
+++ b/crates/rig/src/processes/mod.rs
@@ -10,14 +10,16 @@
 pub mod judge;
 pub mod workers;
 
-use crate::SETTINGS;
+use crate::{Peer, SETTINGS};
 use discovery::Link;
+use std::ffi::OsStr;
 use std::io::{BufRead, BufReader};
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use workers::Workers;
 
 /// How lists reach the dispatchers.
@@ -29,6 +31,49 @@
     Pushed,
 }
 
+impl Lists {
+    /// The settings of the scenarios as those of one of so many dispatchers.
+    pub fn settings(self, me: usize, fleet: usize) -> String {
+        let mode = match self {
+            Lists::Asked => "subscribe",
+            Lists::Pushed => "automatic",
+        };
+        let rules = r#""rules":{"ask-within-us":10000000,"drain-grace-us":500000}"#;
+        let more = format!(r#"{rules},"discovery":"{mode}","n-instances":{fleet},"me":{me}"#);
+        SETTINGS.replacen(r#""rules":{}"#, &more, 1)
+    }
+}
+
+/// The program, which serves on this configuration, and the line of its log that says where it listens.
+pub fn serve(program: &Path, config: &Path, more: &[&OsStr]) -> (Child, Option<String>) {
+    let mut child = Command::new(program)
+        .arg("serve")
+        .args(more)
+        .env_clear()
+        .env("ROUTER_CONFIG", config)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
+    let listens = log.find_map(|line| line.ok().filter(|l| l.contains(" listens ")));
+    std::thread::spawn(move || log.for_each(drop));
+    (child, listens)
+}
+
+/// A field of a line of the log.
+pub fn field(line: &str, name: &str) -> Option<String> {
+    let value = line.split_once(&format!(" {name}="))?.1;
+    Some(value.split_whitespace().next()?.to_owned())
+}
+
+/// Whether the dispatcher at this address reports that it is ready.
+pub fn is_ready(address: &str) -> bool {
+    let Ok(stream) = TcpStream::connect(address) else { return false };
+    let mut peer = Peer::new(stream);
+    peer.send("raw GET /-/ready HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n");
+    peer.message().is_ok_and(|answer| answer.starts_with("HTTP/1.1 200"))
+}
+
 /// One life of a dispatcher process.
 #[derive(Clone, Copy, Debug)]
 pub struct Life {
@@ -64,9 +109,9 @@
     /// The workers and the list of them.
     pub workers: Arc<Workers>,
     /// The dispatchers.
-    pub dispatchers: Vec<Arc<Dispatcher>>,
+    pub dispatchers: Vec<Dispatcher>,
     /// Clients begin no more requests.
-    pub over: Arc<AtomicBool>,
+    pub over: AtomicBool,
     /// What broke an invariant while the play went on.
     pub broken: Mutex<Vec<String>>,
     program: PathBuf,
@@ -80,7 +125,7 @@
         let dispatcher = |number| {
             let link = Link::start(workers.clone());
             let file = format!("pumiceway-fleet-{}-{:p}-{number}.json", std::process::id(), link);
-            Arc::new(Dispatcher {
+            Dispatcher {
                 number,
                 link,
                 address: Mutex::default(),
@@ -90,14 +135,14 @@
                 bootstrap: bootstrap.clone(),
                 lists,
                 fleet: dispatchers,
-            })
+            }
         };
         let dispatchers = (0..dispatchers).map(dispatcher).collect();
         let world = Arc::new(World {
             start: Instant::now(),
             workers,
             dispatchers,
-            over: Arc::default(),
+            over: AtomicBool::new(false),
             broken: Mutex::default(),
             program: program.to_owned(),
         });
@@ -127,18 +172,8 @@
     /// Starts a process, on the list that the first one began with.
     pub fn launch(&self, program: &Path) {
         self.write_config();
-        let mut child = Command::new(program)
-            .arg("serve")
-            .env_clear()
-            .env("ROUTER_CONFIG", &self.config)
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap()).lines();
-        let listens = log.find_map(|line| line.ok().filter(|l| l.contains(" listens ")));
-        let address =
-            listens.and_then(|l| Some(l.split("address=").nth(1)?.split_whitespace().next()?.to_owned()));
-        std::thread::spawn(move || log.for_each(drop));
+        let (child, listens) = serve(program, &self.config, &[]);
+        let address = listens.and_then(|line| field(&line, "address"));
         *self.child.lock().unwrap() = Some(child);
         self.lives.lock().unwrap().push(Life { from: Instant::now(), leaves: None, killed: false });
         *self.address.lock().unwrap() = address;
@@ -146,15 +181,7 @@
 
     /// Writes the configuration, with discovery where it is now.
     pub fn write_config(&self) {
-        let mode = match self.lists {
-            Lists::Asked => "subscribe",
-            Lists::Pushed => "automatic",
-        };
-        let (me, fleet) = (self.number, self.fleet);
-        let rules = format!(
-            r#""rules":{{"ask-within-us":10000000,"drain-grace-us":500000}},"discovery":"{mode}","n-instances":{fleet},"me":{me}"#
-        );
-        let settings = SETTINGS.replacen(r#""rules":{}"#, &rules, 1);
+        let settings = self.lists.settings(self.number, self.fleet);
         let (discovery, known) = (self.link.address(), &self.bootstrap);
         let text = format!(
             r#"{{"listen":"127.0.0.1:0","discovery":"{discovery}","known":{known},"settings":{settings}}}"#
@@ -193,23 +220,17 @@
     }
 
     /// Whether its process reports within this time that it is ready.
-    pub fn ready_within(&self, time: std::time::Duration) -> bool {
+    pub fn ready_within(&self, time: Duration) -> bool {
         let end = Instant::now() + time;
         loop {
             let address = self.address.lock().unwrap().clone();
-            let stream = address.and_then(|at| std::net::TcpStream::connect(at).ok());
-            let answer = stream.and_then(|stream| {
-                let mut peer = crate::Peer::new(stream);
-                peer.send("raw GET /-/ready HTTP/1.1\\r\\nHost: x\\r\\n\\r\\n");
-                peer.message().ok()
-            });
-            if answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200")) {
+            if address.is_some_and(|address| is_ready(&address)) {
                 return true;
             }
             if Instant::now() > end {
                 return false;
             }
-            std::thread::sleep(std::time::Duration::from_millis(20));
+            std::thread::sleep(Duration::from_millis(20));
         }
     }
 
--- a/crates/rig/src/processes/workers.rs
+++ b/crates/rig/src/processes/workers.rs
@@ -1,6 +1,6 @@
 //! Workers that serve at once, hang or reset, and the list of them that discovery tells.
 
-use crate::Peer;
+use crate::{Peer, endpoint_line, listing, serve_each};
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -72,12 +72,7 @@
         });
         for (worker, listener) in listeners.into_iter().enumerate() {
             let workers = workers.clone();
-            std::thread::spawn(move || {
-                for stream in listener.incoming().map_while(Result::ok) {
-                    let workers = workers.clone();
-                    std::thread::spawn(move || workers.serve(worker, Peer::new(stream)));
-                }
-            });
+            serve_each(listener, move |peer| workers.serve(worker, peer));
         }
         workers
     }
@@ -151,12 +146,8 @@
     fn listing(&self, version: u64, whole: bool, lines: Vec<(usize, Status)>) -> String {
         let line = |(worker, status): (usize, Status)| {
             let status = format!("{status:?}").to_lowercase();
-            let port = self.ports[worker];
-            format!(
-                r#"{{"name":"w{worker:02}","address":"127.0.0.1:{port}","zone":"z","type":"k","status":"{status}"}}"#
-            )
+            endpoint_line(&format!("w{worker:02}"), self.ports[worker], &status)
         };
-        let lines: Vec<_> = lines.into_iter().map(line).collect();
-        format!(r#"{{"index":{version},"snapshot":{whole},"endpoints":[{}]}}"#, lines.join(","))
+        listing(version, whole, &lines.into_iter().map(line).collect::<Vec<_>>())
     }
 }
