Logs: what each word or failure of discovery makes of the lease on its list

Need: the logs could not say for how long a list is held to be current, nor what put the end of that off.

Change: each word of a source, and each failed call, is logged at debug with what became of the lease and for how many milliseconds it holds. No behaviour changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use pumiceway_decisions::api::{ClassId, Micros, Report, Status, TenantId, WorkerId};
+use pumiceway_decisions::rules::Contact;
 use std::sync::Arc;
 
 /// A client that waits for the answer to a transaction.
@@ -325,6 +326,15 @@
     CloseFronts,
     /// All that was taken is answered: end the program.
     Exit,
+    /// Tell those who look after the dispatcher what a source's word, or failure, made of the lease on its list.
+    LeaseNoted {
+        /// Whose list.
+        source: Source,
+        /// What came of it.
+        contact: Contact,
+        /// When the lease ends, unless it is renewed; `None` where none holds or it does not end.
+        ends: Option<Micros>,
+    },
     /// Tell those who look after the dispatcher.
     Warn {
         /// What is the matter.
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -633,7 +633,10 @@
             let tried = self.transactions.values().flat_map(|open| open.attempts.iter().map(|a| a.endpoint));
             tried.chain(self.probes.values().map(|(hop, _)| *hop)).collect()
         };
+        let contact = news.contact().filter(|_| confirms);
         let Applied { kind, lines, reused } = self.routes.apply(now, source, news, confirms, owed);
+        let ends = self.routes.lease_end(source);
+        out.extend(contact.map(|contact| Effect::LeaseNoted { source, contact, ends }));
         out.extend(reused.into_iter().map(|hop| Effect::Disconnect { hop }));
         self.pending.push_back(Told::List(kind, lines));
         self.review_leases(now, out);
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -76,6 +76,17 @@
     Lost(Contact),
 }
 
+impl RouteNews {
+    /// What it says of whether the source's list is current; nothing where it is not the source's own word.
+    pub(super) fn contact(&self) -> Option<Contact> {
+        match self {
+            RouteNews::Bootstrap(_) => None,
+            RouteNews::Lost(contact) => Some(*contact),
+            _ => Some(Contact::Confirmed),
+        }
+    }
+}
+
 /// So many next hops that are gone are remembered, far more than leave while a list may lag behind. Prevents: where
 /// every start brings a new name, memory grows for as long as the program runs.
 const GONE_MOST: usize = 1_024;
@@ -167,6 +178,11 @@
         self.leases.of_mut(source).set_terms(now, terms);
     }
 
+    /// When the lease on what this source lists ends, if it is not renewed.
+    pub(super) fn lease_end(&self, source: Source) -> Option<Micros> {
+        self.leases.of(source).expires()
+    }
+
     /// When the next of the leases that are valid expires, if it is not renewed.
     pub(super) fn next_expiry(&self, now: Micros) -> Option<Micros> {
         let valid = self.leases.all().into_iter().filter(|lease| lease.valid(now));
@@ -211,12 +227,7 @@
         owed: impl Fn() -> HashSet<WorkerId>,
     ) -> Applied {
         let older = matches!(news, RouteNews::Older(_));
-        let contact = match &news {
-            RouteNews::Bootstrap(_) => None,
-            RouteNews::Lost(contact) => Some(*contact),
-            _ => Some(Contact::Confirmed),
-        };
-        contact
+        news.contact()
             .filter(|_| confirms)
             .into_iter()
             .for_each(|contact| self.leases.of_mut(source).note(now, contact));
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -393,6 +393,10 @@
             Effect::Ready => self.ready.store(true, Ordering::Relaxed),
             Effect::CloseFronts => drop(self.close.send(true)),
             Effect::Exit => self.exit = true,
+            Effect::LeaseNoted { source, contact, ends } => {
+                let holds_ms = ends.map(|at| at.saturating_sub(self.clock.now()) / 1_000);
+                debug!(?source, ?contact, holds_ms, "lease on the endpoint list");
+            }
             Effect::Warn { what, detail } => warn!(detail, "{what}"),
         }
     }
--- /dev/null
+++ b/crates/pumiceway/tests/common/mod.rs
@@ -0,0 +1,113 @@
+//! What tests of the program as a process share: the process, its files, a worker, calls to discovery.
+#![allow(dead_code)] // each test file uses its own part of it
+
+use pumiceway_rig::processes::{Lists, field, serve};
+use pumiceway_rig::{Peer, serve_each};
+use std::ffi::OsStr;
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::Child;
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+/// For what comes within some seconds, on a machine that has other things to do.
+pub const SOON: Duration = Duration::from_secs(20);
+
+/// A dispatcher process, killed when dropped.
+pub struct Process {
+    child: Child,
+    pub http: String,
+    gearman: String,
+}
+
+impl Process {
+    /// Starts the program on this configuration and waits until it listens.
+    pub fn start(config: &Path, gearman: &Path) -> Process {
+        let more = [OsStr::new("--gearman"), gearman.as_os_str()];
+        let (child, listens) = serve(Path::new(env!("CARGO_BIN_EXE_pumiceway")), config, &more);
+        let listens = listens.unwrap();
+        let [http, gearman] = ["address", "gearman"].map(|name| field(&listens, name).unwrap());
+        Process { child, http, gearman }
+    }
+
+    pub fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits until this many requests are open, by the count that the console shows.
+    pub fn until_open(&self, class: &str, open: usize) {
+        let row = format!("{class}\t{open}\t");
+        let begun = Instant::now();
+        loop {
+            let mut peer = Peer::new(TcpStream::connect(&self.gearman).unwrap());
+            peer.send("raw status\\n");
+            let status = peer.text_to(".\n");
+            if status.contains(&row) {
+                return;
+            }
+            assert!(begun.elapsed() < SOON, "no {row:?} in {status}");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A worker that serves whatever it is sent and reports each request.
+pub fn worker() -> (u16, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let (report, requests) = channel();
+    serve_each(listener, move |mut peer| {
+        while let Ok(request) = peer.message() {
+            let _ = report.send(request);
+            peer.send("done yes");
+        }
+    });
+    (port, requests)
+}
+
+/// The next call to discovery, not yet answered.
+pub fn call(discovery: &TcpListener) -> Peer {
+    let mut peer = Peer::new(discovery.accept().unwrap().0);
+    let request = peer.message().unwrap();
+    assert!(request.starts_with("GET /api/targets"), "{request}");
+    peer
+}
+
+/// Files of one test, removed when dropped.
+pub struct Files {
+    pub config: PathBuf,
+    pub gearman: PathBuf,
+}
+
+impl Files {
+    pub fn write(name: &str, lists: Lists, discovery: &TcpListener, known: &str) -> Files {
+        let file = |suffix: &str, text: String| {
+            let name = format!("pumiceway-{}-{name}-{lists:?}.{suffix}", std::process::id());
+            let path = std::env::temp_dir().join(name);
+            std::fs::write(&path, text).unwrap();
+            path
+        };
+        let settings = lists.settings(0, 1);
+        let address = discovery.local_addr().unwrap();
+        let config = format!(
+            r#"{{"listen":"127.0.0.1:0","discovery":"{address}","known":{known},"settings":{settings}}}"#
+        );
+        let gearman = "listen = \"127.0.0.1:0\"\n".to_owned();
+        Files { config: file("json", config), gearman: file("toml", gearman) }
+    }
+}
+
+impl Drop for Files {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(&self.gearman);
+    }
+}
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -589,7 +589,7 @@
             }
             Effect::Exit => self.ended(life),
             Effect::Ready => self.instances[me].ready = true,
-            Effect::Tell { .. } | Effect::Warn { .. } => {}
+            Effect::Tell { .. } | Effect::Warn { .. } | Effect::LeaseNoted { .. } => {}
         }
     }
 
