Lease: only a word of discovery renews it, from when it can have been said

Cause: Lease::note put the end of the lease off for each call that ended with 503, a reset or a close, as if discovery had been down all the while. A crowded one fails in the same way, with changes to tell. Class: that nothing was heard is taken for news.

Ruled out: telling the two apart by how a call fails or how fast; 503, reset, silence and delay may each hide a change.

Change: a failed call renews nothing.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -224,6 +224,8 @@
     Routes {
         /// Who tells.
         source: Source,
+        /// The earliest time at which it can have been so: see [`pumiceway_decisions::rules::Lease::note`].
+        since: Micros,
         /// What it tells.
         news: RouteNews,
     },
@@ -234,6 +236,11 @@
         /// What it tells.
         news: RouteNews,
     },
+    /// What this source lists is used only while it confirms that, from now on.
+    Expires {
+        /// Which source.
+        source: Source,
+    },
     /// The configuration has been read, at the start or again.
     Configured {
         /// Where discovery is.
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -182,10 +182,21 @@
                     self.tell(api::Event::Probed(Probed { worker: hop, status, latency, report }));
                 }
             }
-            Event::Routes { source, news } => self.routes(now, source, news, true, &mut out),
+            Event::Routes { source, since, news } => {
+                let contact = news.contact();
+                let applied = self.apply_routes(source, news);
+                if let Some(contact) = contact {
+                    self.routes.note_contact(source, since, contact);
+                    let ends = self.routes.lease_end(source);
+                    out.push(Effect::LeaseNoted { source, contact, ends });
+                }
+                self.tell_routes(now, applied, &mut out);
+            }
             Event::FormerRoutes { source, news } => {
-                self.routes(now, source, news, false, &mut out);
+                let applied = self.apply_routes(source, news);
+                self.tell_routes(now, applied, &mut out);
             }
+            Event::Expires { source } => self.routes.set_terms(now, source, LeaseTerms::of_session()),
             Event::Configured { discovery, index, needs_restart } => {
                 if !needs_restart.is_empty() {
                     let what = "keys of the configuration changed, which takes a restart";
@@ -620,23 +631,17 @@
         self.close_branch(now, branch, status, report);
     }
 
-    fn routes(
-        &mut self,
-        now: Micros,
-        source: Source,
-        news: RouteNews,
-        confirms: bool,
-        out: &mut Vec<Effect>,
-    ) {
+    fn apply_routes(&mut self, source: Source, news: RouteNews) -> Applied {
         // The decisions remember each attempt of a request for as long as it is open here.
         let owed = || {
             let tried = self.transactions.values().flat_map(|open| open.attempts.iter().map(|a| a.endpoint));
             tried.chain(self.probes.values().map(|(hop, _)| *hop)).collect()
         };
-        let contact = news.contact().filter(|_| confirms);
-        let Applied { kind, lines, reused } = self.routes.apply(now, source, news, confirms, owed);
-        let ends = self.routes.lease_end(source);
-        out.extend(contact.map(|contact| Effect::LeaseNoted { source, contact, ends }));
+        self.routes.apply(source, news, owed)
+    }
+
+    fn tell_routes(&mut self, now: Micros, applied: Applied, out: &mut Vec<Effect>) {
+        let Applied { kind, lines, reused } = applied;
         out.extend(reused.into_iter().map(|hop| Effect::Disconnect { hop }));
         self.pending.push_back(Told::List(kind, lines));
         self.review_leases(now, out);
--- a/crates/core/src/routes.rs
+++ b/crates/core/src/routes.rs
@@ -70,6 +70,8 @@
     Bootstrap(Vec<NextHop>),
     /// What has changed.
     Changes(Vec<NextHop>),
+    /// What has changed since an older list.
+    OlderChanges(Vec<NextHop>),
     /// Nothing has changed.
     Unchanged,
     /// It can't be heard; what it listed stands for as long as its lease.
@@ -82,7 +84,8 @@
         match self {
             RouteNews::Bootstrap(_) => None,
             RouteNews::Lost(contact) => Some(*contact),
-            _ => Some(Contact::Confirmed),
+            RouteNews::Older(_) | RouteNews::OlderChanges(_) => Some(Contact::Outdated),
+            RouteNews::Whole(_) | RouteNews::Changes(_) | RouteNews::Unchanged => Some(Contact::Confirmed),
         }
     }
 }
@@ -216,21 +219,19 @@
         self.hops.get(hop.0 as usize).map(|p| (p.line.zone, p.line.cell)).unwrap_or_default()
     }
 
-    /// Takes the news in; `owed` names the handles that something may still come for. What a source says at its former
-    /// address renews no lease (`confirms` is false).
+    /// Takes in what a source has let us know of its list, at this time or later.
+    pub(super) fn note_contact(&mut self, source: Source, since: Micros, contact: Contact) {
+        self.leases.of_mut(source).note(since, contact);
+    }
+
+    /// Takes the news in; `owed` names the handles that something may still come for.
     pub(super) fn apply(
         &mut self,
-        now: Micros,
         source: Source,
         news: RouteNews,
-        confirms: bool,
         owed: impl Fn() -> HashSet<WorkerId>,
     ) -> Applied {
-        let older = matches!(news, RouteNews::Older(_));
-        news.contact()
-            .filter(|_| confirms)
-            .into_iter()
-            .for_each(|contact| self.leases.of_mut(source).note(now, contact));
+        let older = matches!(news, RouteNews::Older(_) | RouteNews::OlderChanges(_));
         let (kind, mut lines) = match news {
             RouteNews::Whole(lines) => (ListKind::Whole, lines),
             RouteNews::Older(mut lines) => {
@@ -239,6 +240,10 @@
             }
             RouteNews::Bootstrap(lines) => (ListKind::Bootstrap, lines),
             RouteNews::Changes(lines) => (ListKind::Changes, lines),
+            RouteNews::OlderChanges(mut lines) => {
+                lines.iter_mut().for_each(|line| self.hold(line));
+                (ListKind::Changes, lines)
+            }
             RouteNews::Unchanged => {
                 return Applied { kind: ListKind::Changes, lines: vec![], reused: vec![] };
             }
--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -27,7 +27,7 @@
         let core = Core::new(settings, 7, Retention::default()).unwrap();
         let mut stage = Stage { core, now: START };
         let lines = hops.iter().map(|h| hop(h, WorkerState::Ready)).collect();
-        stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(lines) });
+        stage.tell(Event::Routes { source: Source::Discovery, since: START, news: RouteNews::Whole(lines) });
         stage
     }
 
@@ -166,7 +166,7 @@
         // Over after a while; a further next hop, as the first is on trial.
         stage.pass(31_000 * MS);
         let lines = vec![hop("c", WorkerState::Ready)];
-        stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(lines) });
+        stage.tell(Event::Routes { source: Source::Discovery, since: START, news: RouteNews::Whole(lines) });
         let mut third = stage.submit(3, 2_000 * MS);
         third.extend(stage.pass(1_000 * MS));
         assert_eq!(fresh(&third), Some(false));
@@ -178,7 +178,7 @@
 fn a_draining_next_hop_gets_nothing_new() {
     let mut stage = Stage::new(api::Effect::Safe, &["a"]);
     let lines = vec![hop("a", WorkerState::Draining)];
-    stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Changes(lines) });
+    stage.tell(Event::Routes { source: Source::Discovery, since: START, news: RouteNews::Changes(lines) });
     let mut all = stage.submit(1, 2_000 * MS);
     all.extend(stage.pass(2_000 * MS));
     assert!(started(&all).is_empty(), "{all:?}");
@@ -202,7 +202,8 @@
     ];
     for (news, ready) in cases {
         let mut stage = Stage::new(api::Effect::Safe, &["a", "b", "c", "d"]);
-        let mut tell = |news| drop(stage.tell(Event::Routes { source: Source::Discovery, news }));
+        let mut tell =
+            |news| drop(stage.tell(Event::Routes { source: Source::Discovery, since: START, news }));
         tell(RouteNews::Changes(vec![hop("a", WorkerState::Draining)]));
         let mut listed = all();
         listed[0].state = WorkerState::Draining;
@@ -221,8 +222,8 @@
 fn a_whole_list_speaks_for_its_own_source_only() {
     let mut stage = Stage::new(api::Effect::Safe, &["a"]);
     let lines = vec![hop("z", WorkerState::Ready)];
-    stage.tell(Event::Routes { source: Source::ZooKeeper, news: RouteNews::Whole(lines) });
-    stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(vec![]) });
+    stage.tell(Event::Routes { source: Source::ZooKeeper, since: START, news: RouteNews::Whole(lines) });
+    stage.tell(Event::Routes { source: Source::Discovery, since: START, news: RouteNews::Whole(vec![]) });
     let states: Vec<_> = stage.core.overview().hops.into_iter().map(|h| (h.name, h.state)).collect();
     let expected = [("a".to_owned(), WorkerState::Gone), ("z".to_owned(), WorkerState::Ready)];
     assert_eq!(states, expected);
@@ -255,7 +256,7 @@
         let core = Core::new(settings, 7, Retention::default()).unwrap();
         let mut stage = Stage { core, now: START };
         let lines = vec![hop("a", WorkerState::Ready)];
-        stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(lines) });
+        stage.tell(Event::Routes { source: Source::Discovery, since: START, news: RouteNews::Whole(lines) });
         stage.tell(Event::Terminate);
         assert!(!stage.pass((closes - 20) * MS).contains(&Effect::CloseFronts), "{deadline}");
         let mut all = stage.pass(40 * MS);
--- a/crates/core/tests/ends.rs
+++ b/crates/core/tests/ends.rs
@@ -72,7 +72,11 @@
     }
 
     fn lists(&mut self, hops: &[NextHop]) -> Vec<Effect> {
-        self.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(hops.to_vec()) })
+        self.tell(Event::Routes {
+            source: Source::Discovery,
+            since: START,
+            news: RouteNews::Whole(hops.to_vec()),
+        })
     }
 
     fn tell(&mut self, event: Event) -> Vec<Effect> {
@@ -712,7 +716,11 @@
     let [s, ..] = sites();
     let mut stage = Stage::new(s.clone(), &[hop("a")]);
     come_and_go(&mut stage, 0..GONE_MOST - 1);
-    stage.tell(Event::Routes { source: Source::Discovery, news: RouteNews::Older(vec![hop("a")]) });
+    stage.tell(Event::Routes {
+        source: Source::Discovery,
+        since: START,
+        news: RouteNews::Older(vec![hop("a")]),
+    });
     assert!(stage.submit(SAFE, 1).iter().all(|e| !matches!(e, Effect::Start { .. })), "it has left");
     let names: Vec<String> = (0..2 * GONE_MOST).map(|n| format!("n{n}")).collect();
     let hops: Vec<NextHop> = names.iter().map(|name| hop(name)).collect();
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -31,10 +31,14 @@
 impl Process {
     /// One that starts on a list in its configuration.
     fn start(ask_within: Micros) -> Process {
+        Process::start_with(true, ask_within)
+    }
+
+    fn start_with(list_by_asking: bool, ask_within: Micros) -> Process {
         let settings = Settings {
             probes: false,
             report_via: ReportVia::None,
-            list_by_asking: true,
+            list_by_asking,
             ask_within,
             ..settings(api::Effect::Safe)
         };
@@ -57,7 +61,12 @@
     }
 
     fn hears(&mut self, news: RouteNews) {
-        self.reduce(Event::Routes { source: Source::Discovery, news });
+        self.hears_late(self.now, news);
+    }
+
+    /// What was said at this time, and is read only now.
+    fn hears_late(&mut self, since: Micros, news: RouteNews) {
+        self.reduce(Event::Routes { source: Source::Discovery, since, news });
     }
 
     fn passes(&mut self, time: Micros) {
@@ -91,8 +100,8 @@
     for word in [RouteNews::Unchanged, RouteNews::Changes(vec![])] {
         let mut process = Process::start(10 * SECOND);
         assert!(!process.sends() && !process.ready);
-        // That discovery can't be reached tells nothing of the list.
-        process.hears(RouteNews::Lost(Contact::Unreachable(SECOND)));
+        // That a call fails tells nothing of the list.
+        process.hears(RouteNews::Lost(Contact::CallFailed));
         assert!(!process.sends() && !process.ready);
         process.hears(word);
         assert!(process.ready && process.sends());
@@ -134,7 +143,7 @@
 fn without_a_watch_a_list_holds_for_as_long_as_the_settings_give() {
     let mut process = Process::start(2 * SECOND);
     process.hears(RouteNews::Changes(vec![]));
-    process.hears(RouteNews::Lost(Contact::Unusable));
+    process.hears(RouteNews::Lost(Contact::WatchEnded));
     process.passes(2 * SECOND - MS);
     assert!(process.sends());
     process.passes(MS);
@@ -142,16 +151,95 @@
 }
 
 #[test]
-fn an_outage_does_not_end_a_lease_and_does_not_bring_one_back() {
-    let mut process = Process::start(10 * SECOND);
-    process.hears(RouteNews::Changes(vec![]));
-    for _ in 0..10 {
-        process.passes(5 * SECOND);
-        process.hears(RouteNews::Lost(Contact::Unreachable(5 * SECOND)));
+fn a_failed_call_neither_renews_a_lease_nor_ends_one() {
+    for list_by_asking in [true, false] {
+        let mut process = Process::start_with(list_by_asking, 10 * SECOND);
+        process.hears(RouteNews::Changes(vec![]));
+        for _ in 0..5 {
+            process.passes(SECOND);
+            process.hears(RouteNews::Lost(Contact::CallFailed));
+            assert!(process.sends());
+        }
+        process.passes(SECOND - MS);
+        process.hears(RouteNews::Lost(Contact::CallFailed));
         assert!(process.sends());
+        process.passes(MS);
+        assert!(!process.sends());
+        process.hears(RouteNews::Lost(Contact::CallFailed));
+        assert!(!process.sends());
     }
-    process.passes(WATCHED);
-    process.hears(RouteNews::Lost(Contact::Unreachable(5 * SECOND)));
+}
+
+#[test]
+fn a_word_that_is_read_late_counts_from_when_it_can_have_been_said() {
+    let mut process = Process::start(10 * SECOND);
+    process.hears(RouteNews::Changes(vec![]));
+    process.passes(5 * SECOND);
+    process.hears_late(START + SECOND, RouteNews::Unchanged);
+    process.passes(2 * SECOND - MS);
+    assert!(process.sends());
+    process.passes(MS);
+    assert!(!process.sends());
+    // Once it is too old it brings nothing back, and one older than the last changes nothing.
+    process.hears_late(START + SECOND, RouteNews::Unchanged);
+    assert!(!process.sends());
+    process.hears(RouteNews::Unchanged);
+    process.hears_late(START, RouteNews::Unchanged);
+    assert!(process.sends());
+}
+
+#[test]
+fn where_lists_are_pushed_one_is_used_no_longer_than_the_grace_after_its_watch() {
+    let mut process = Process::start_with(false, 10 * SECOND);
+    process.hears(RouteNews::Changes(vec![]));
+    process.passes(SECOND);
+    process.hears(RouteNews::Lost(Contact::WatchEnded));
+    process.passes(200 * MS);
+    process.hears(RouteNews::Lost(Contact::CallFailed));
+    process.passes(149 * MS);
+    assert!(process.sends());
+    process.passes(MS);
+    assert!(!process.sends());
+    process.hears(RouteNews::Changes(vec![]));
+    assert!(process.sends());
+    // One that is silent has not ended.
+    process.passes(3 * SECOND);
+    process.hears(RouteNews::Lost(Contact::WatchSilent));
+    process.passes(3 * SECOND - MS);
+    assert!(process.sends());
+    process.passes(MS);
+    assert!(!process.sends());
+}
+
+#[test]
+fn an_older_list_confirms_nothing_and_its_changes_take_no_drain_back() {
+    let mut process = Process::start(10 * SECOND);
+    process.hears(RouteNews::Whole(vec![endpoint(WorkerState::Draining)]));
+    process.hears(RouteNews::Older(vec![endpoint(WorkerState::Ready)]));
+    assert!(!process.sends());
+    process.hears(RouteNews::OlderChanges(vec![endpoint(WorkerState::Ready)]));
+    assert!(!process.sends());
+    process.hears(RouteNews::Changes(vec![endpoint(WorkerState::Ready)]));
+    assert!(process.sends());
+    process.passes(5 * SECOND);
+    process.hears(RouteNews::Older(vec![endpoint(WorkerState::Ready)]));
+    process.passes(SECOND);
+    assert!(!process.sends());
+}
+
+#[test]
+fn a_source_that_is_to_confirm_its_list_is_used_only_while_it_does() {
+    let mut process = Process::start(10 * SECOND);
+    let mut worker = endpoint(WorkerState::Ready);
+    worker.name = "node".into();
+    process.reduce(Event::Expires { source: Source::ZooKeeper });
+    let (source, since, news) = (Source::ZooKeeper, START, RouteNews::Whole(vec![worker]));
+    process.reduce(Event::Routes { source, since, news });
+    process.passes(WATCHED - MS);
+    assert!(process.sends());
+    let (since, news) = (process.now, RouteNews::Lost(Contact::WatchEnded));
+    process.reduce(Event::Routes { source, since, news });
+    process.passes(MS);
     assert!(!process.sends());
 }
 
@@ -175,7 +263,8 @@
     let mut process = Process::start(10 * SECOND);
     let mut worker = endpoint(WorkerState::Ready);
     (worker.name, worker.reach) = ("session".into(), Reach::Session(1));
-    process.reduce(Event::Routes { source: Source::Gearman, news: RouteNews::Changes(vec![worker]) });
+    let (source, since, news) = (Source::Gearman, 0, RouteNews::Changes(vec![worker]));
+    process.reduce(Event::Routes { source, since, news });
     process.passes(3_600 * SECOND);
     assert!(process.ready && process.sends());
 }
--- a/crates/decisions/src/api.rs
+++ b/crates/decisions/src/api.rs
@@ -138,6 +138,8 @@
     pub list_by_asking: bool,
     /// An instance that has not asked for this long counts as told.
     pub ask_within: Micros,
+    /// Nothing new goes to a worker later than this after its instance was told that it drains or is gone.
+    pub drain_grace: Micros,
     /// Probing is allowed.
     pub probes: bool,
     /// Cancelling an attempt is allowed.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -32,6 +32,7 @@
 //!     report_via: ReportVia::Answers,
 //!     list_by_asking: false,
 //!     ask_within: 10_000_000,
+//!     drain_grace: 500_000,
 //!     probes: true,
 //!     cancel: true,
 //!     second_copies: true,
--- a/crates/decisions/src/rules/membership.rs
+++ b/crates/decisions/src/rules/membership.rs
@@ -1,4 +1,7 @@
-//! How long a list of endpoints may be used: a lease, held for as long as discovery confirms it.
+//! How long a list of endpoints may be used: a lease, held from the time for which its source has shown it to be current.
+//!
+//! Only what a source has said renews a lease. That nothing was heard, whatever the reason, renews nothing: a call that
+//! fails, a watch that ends or one that is silent may each hide a change.
 
 use crate::api::{Micros, Settings};
 
@@ -7,35 +10,58 @@
 const NOTIFIED_WITHIN: Micros = 6_000_000;
 /// The same after a new configuration has moved discovery.
 const NOTIFIED_AFTER_MOVE: Micros = 4_000_000;
+/// A process may be held up for this long between reading the clock and writing.
+const HELD_UP: Micros = 150_000;
 
 /// What a source has let us know, or failed to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Contact {
     /// It told a list, a change, or that nothing has changed.
     Confirmed,
-    /// It could not be reached, or said that it can't serve: it has notified nobody. It is asked again, and
-    /// the outcome of that known, within this time.
-    Unreachable(Micros),
-    /// It was reached and told nothing that can be used.
-    Unusable,
+    /// It told a list that is older than one it has told before. Nobody knows what has changed since.
+    Outdated,
+    /// Its watch has ended, or said something that can't be used.
+    WatchEnded,
+    /// Its watch stands and says nothing any more.
+    WatchSilent,
+    /// A call for a watch or a list failed, in whatever way.
+    CallFailed,
 }
 
 /// For how long a source's list holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseTerms {
-    /// After the last word on a watch that stands.
+    /// After the last word on a watch that stands, or has fallen silent.
     watched: Micros,
-    /// After the last word, once no watch stands.
-    unwatched: Micros,
+    /// Once the watch has ended.
+    unwatched: Unwatched,
+}
+
+/// For how long a list holds once no watch stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unwatched {
+    /// So long after the last word: so long a dispatcher without a watch is held to its list.
+    AfterLastWord(Micros),
+    /// So long after the watch ended: what an agent beside the dispatcher has counts as notified at once, watched or not.
+    AfterEnd(Micros),
 }
 
 impl LeaseTerms {
     /// What the settings give for the discovery service.
     pub fn of(settings: &Settings) -> LeaseTerms {
-        let asked = settings.list_by_asking && settings.ask_within > 0;
-        let unwatched = if asked { settings.ask_within.min(NOTIFIED_WITHIN) } else { NOTIFIED_WITHIN };
+        let unwatched = match (settings.list_by_asking, settings.ask_within) {
+            (false, _) => Unwatched::AfterEnd(settings.drain_grace.saturating_sub(HELD_UP)),
+            (true, 0) => Unwatched::AfterLastWord(NOTIFIED_WITHIN),
+            (true, ask_within) => Unwatched::AfterLastWord(ask_within.min(NOTIFIED_WITHIN)),
+        };
         LeaseTerms { watched: NOTIFIED_WITHIN, unwatched }
     }
+
+    /// For a source whose word has to be renewed and that tells of its own end: its list holds for as long as that of a
+    /// watch, however its session ends.
+    pub fn of_session() -> LeaseTerms {
+        LeaseTerms { watched: NOTIFIED_WITHIN, unwatched: Unwatched::AfterLastWord(NOTIFIED_WITHIN) }
+    }
 }
 
 /// The lease on what one source has listed.
@@ -54,8 +80,8 @@
     /// No word has come yet.
     #[default]
     Unconfirmed,
-    /// When the source last confirmed it, and when that is too long ago.
-    Confirmed { at: Micros, until: Micros },
+    /// Since when it is known to have been current, and when that is too long ago.
+    Confirmed { since: Micros, until: Micros },
 }
 
 impl Lease {
@@ -68,29 +94,44 @@
         }
     }
 
-    /// Takes in what the source has let us know.
-    pub fn note(&mut self, now: Micros, contact: Contact) {
+    /// Takes in what the source has let us know. `since` is the earliest time at which it can have been so: for a word,
+    /// when it can have been said; for the end of a watch, when that was last seen to stand.
+    pub fn note(&mut self, since: Micros, contact: Contact) {
         let Some(terms) = self.terms else {
             if contact == Contact::Confirmed {
-                self.state = State::Confirmed { at: now, until: Micros::MAX };
+                self.state = State::Confirmed { since, until: Micros::MAX };
             }
             return;
         };
         match (contact, &mut self.state) {
-            (Contact::Confirmed, state) => {
-                *state = State::Confirmed { at: now, until: now.saturating_add(terms.watched) };
+            (Contact::Confirmed, State::Unconfirmed) => self.confirm(since, terms),
+            // Prevents: a word that was said long ago, and is read late, takes back what is known since.
+            (Contact::Confirmed, State::Confirmed { since: known, .. }) if *known <= since => {
+                self.confirm(since, terms);
             }
-            // What was missed before this was known would be missed for good: one that has expired stays so.
-            (Contact::Unreachable(again), State::Confirmed { until, .. }) if now < *until => {
-                *until = (*until).max(now.saturating_add(terms.unwatched.max(again)));
+            (Contact::WatchEnded, State::Confirmed { since: known, until }) => {
+                let ends = match terms.unwatched {
+                    Unwatched::AfterLastWord(time) => known.saturating_add(time),
+                    Unwatched::AfterEnd(time) => since.saturating_add(time),
+                };
+                *until = (*until).min(ends);
             }
-            (Contact::Unusable, State::Confirmed { at, until }) => {
-                *until = (*until).min(at.saturating_add(terms.unwatched));
+            (Contact::WatchSilent, State::Confirmed { since: known, until }) => {
+                if let Unwatched::AfterLastWord(time) = terms.unwatched {
+                    *until = (*until).min(known.saturating_add(time));
+                }
             }
-            (Contact::Unreachable(_) | Contact::Unusable, _) => {}
+            // A crowded discovery fails calls in the same way as one that is down, and only the second has nothing to tell:
+            // what nobody has shown renews nothing.
+            (Contact::CallFailed | Contact::Outdated, _) => {}
+            (Contact::Confirmed | Contact::WatchEnded | Contact::WatchSilent, _) => {}
         }
     }
 
+    fn confirm(&mut self, since: Micros, terms: LeaseTerms) {
+        self.state = State::Confirmed { since, until: since.saturating_add(terms.watched) };
+    }
+
     /// Whether the list may be used.
     pub fn valid(&self, now: Micros) -> bool {
         matches!(self.state, State::Confirmed { until, .. } if now < until)
--- a/crates/decisions/src/settings.rs
+++ b/crates/decisions/src/settings.rs
@@ -364,6 +364,7 @@
             },
             list_by_asking: self.discovery == Discovery::Subscribe,
             ask_within: self.rules.ask_within_us,
+            drain_grace: self.rules.drain_grace_us,
             probes: self.limits.probes,
             cancel: self.limits.cancel,
             second_copies: self.limits.second_copies,
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -26,6 +26,7 @@
         report_via: ReportVia::Answers,
         list_by_asking: false,
         ask_within: 10_000 * MS,
+        drain_grace: 500 * MS,
         probes: true,
         cancel: true,
         second_copies: true,
--- a/crates/net/src/discovery/pace.rs
+++ b/crates/net/src/discovery/pace.rs
@@ -83,11 +83,6 @@
         self.spread.min(TOLD_MOVED / 4).mul_f64(draw)
     }
 
-    /// The longest wait before a call.
-    pub fn longest(&self) -> Duration {
-        LEAST + self.most
-    }
-
     /// The wait before the next call, when one has ended whose watch `stood` for so long, not at all if it was never
     /// answered; `served` when it brought news.
     pub fn next(&mut self, stood: Duration, served: bool, draw: f64) -> Duration {
--- a/crates/net/src/discovery/pace/tests.rs
+++ b/crates/net/src/discovery/pace/tests.rs
@@ -49,7 +49,7 @@
 // turn from 15 s where there are 300: it went on sending there. After a failed call that comes four times later.
 #[test]
 fn whatever_the_size_of_the_fleet_a_call_is_over_before_its_news_counts_as_told() {
-    let (call, silence) = (super::super::CALL, super::super::SILENCE);
+    let (call, silence) = (super::super::watcher::CALL, super::super::watcher::SILENCE);
     for instances in [0, 1, 3, 60, 100, 300, 10_000, usize::MAX] {
         for ask_within in [Duration::ZERO, Duration::from_secs(10), Duration::from_secs(30)] {
             let mut pace = Pace::new(instances, ask_within);
--- a/crates/net/src/discovery/zookeeper.rs
+++ b/crates/net/src/discovery/zookeeper.rs
@@ -4,7 +4,7 @@
 //! `name` is the node's, `status` is `ready` and `since_ms` the node's creation unless the data says otherwise.
 //! The watch is a persistent recursive one, which servers have from version 3.6 on.
 
-use super::{Endpoint, Listing};
+use super::{Endpoint, Listing, SourceNews};
 use crate::config::ZooKeeperConfig;
 use pumiceway_core::{RouteNews, Source};
 use pumiceway_decisions::rules::Contact;
@@ -13,12 +13,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tracing::warn;
 use zookeeper_client::{AddWatchMode, Client, Error, EventType, PersistentWatcher, SessionState};
 
 /// A call is answered within this time or has failed.
 const CALL: Duration = Duration::from_secs(2);
+/// The ensemble is asked this often whether the session still stands: the answer comes after all events before it.
+const ASK_AGAIN: Duration = Duration::from_secs(2);
 /// Wait before the next session after one that failed.
 const PAUSE: Duration = Duration::from_millis(500);
 
@@ -29,7 +31,7 @@
     /// What their words mean.
     pub conf: Arc<Conf>,
     /// Who is told.
-    pub tell: mpsc::Sender<(Source, RouteNews)>,
+    pub tell: mpsc::Sender<SourceNews>,
 }
 
 enum Broken {
@@ -52,15 +54,16 @@
                 Err(Broken::Unheard) => return,
                 Err(Broken::Failed(why)) => warn!(why, "the session with the ensemble broke"),
             }
-            if self.say(RouteNews::Lost(Contact::Unusable)).await.is_err() {
+            if self.say(Instant::now(), RouteNews::Lost(Contact::WatchEnded)).await.is_err() {
                 return;
             }
             sleep(PAUSE.mul_f64(0.5 + fastrand::f64())).await;
         }
     }
 
-    async fn say(&self, news: RouteNews) -> Result<(), Broken> {
-        self.tell.send((Source::ZooKeeper, news)).await.map_err(|_| Broken::Unheard)
+    async fn say(&self, since: Instant, news: RouteNews) -> Result<(), Broken> {
+        let news = SourceNews { source: Source::ZooKeeper, since, news };
+        self.tell.send(news).await.map_err(|_| Broken::Unheard)
     }
 
     async fn session(&self) -> Result<(), Broken> {
@@ -72,17 +75,25 @@
         let watch = within(client.watch(path, AddWatchMode::PersistentRecursive));
         let mut watch: PersistentWatcher = watch.await?;
         loop {
+            let asked = Instant::now();
             let listing = self.list(&client).await?;
-            self.say(RouteNews::Whole(listing.hops(&self.conf))).await?;
+            self.say(asked, RouteNews::Whole(listing.hops(&self.conf))).await?;
             loop {
-                let event = watch.changed().await;
+                let Ok(event) = timeout(ASK_AGAIN, watch.changed()).await else {
+                    let asked = Instant::now();
+                    within(client.list_children(path)).await?;
+                    self.say(asked, RouteNews::Unchanged).await?;
+                    continue;
+                };
                 match (event.event_type, event.session_state) {
                     // Back after a break: what was missed is in the list.
                     (EventType::Session, SessionState::SyncConnected) => break,
                     (EventType::Session, state) if state.is_terminated() => {
                         return Err(Broken::Failed(format!("session {state:?}")));
                     }
-                    (EventType::Session, _) => self.say(RouteNews::Lost(Contact::Unusable)).await?,
+                    (EventType::Session, _) => {
+                        self.say(Instant::now(), RouteNews::Lost(Contact::WatchEnded)).await?;
+                    }
                     _ => break,
                 }
             }
--- a/crates/net/src/front/gearman/workers.rs
+++ b/crates/net/src/front/gearman/workers.rs
@@ -99,7 +99,9 @@
             warm: self.warm,
             jobs: Some(1),
         };
-        self.gate.tell(Event::Routes { source: Source::Gearman, news: RouteNews::Changes(vec![hop]) });
+        // What a session lists does not expire.
+        let (source, since, news) = (Source::Gearman, 0, RouteNews::Changes(vec![hop]));
+        self.gate.tell(Event::Routes { source, since, news });
     }
 
     fn ended(&self, branch: BranchId, ending: Ending) {
--- a/crates/net/src/shell.rs
+++ b/crates/net/src/shell.rs
@@ -1,8 +1,8 @@
 //! The shell: carries out what the core asks for, and tells it what has become of it.
 
 use crate::config::{Config, GearmanConfig, Reload, Sockets};
-use crate::discovery::Watcher;
 use crate::discovery::zookeeper::Nodes;
+use crate::discovery::{SourceNews, Watcher};
 use crate::front::gearman::Gearman;
 use crate::front::gearman::workers::{Kinds, Workers};
 use crate::front::http::Front;
@@ -47,6 +47,11 @@
         self.unix + self.start.elapsed().as_micros() as Micros
     }
 
+    /// This moment on it.
+    fn micros(&self, at: Instant) -> Micros {
+        self.unix + at.saturating_duration_since(self.start).as_micros() as Micros
+    }
+
     fn instant(&self, at: Micros) -> Instant {
         self.start + Duration::from_micros(at.saturating_sub(self.unix))
     }
@@ -92,7 +97,7 @@
 struct Watch {
     /// A request waits for the first list.
     demand: Arc<Notify>,
-    told: mpsc::Receiver<(Source, RouteNews)>,
+    told: mpsc::Receiver<SourceNews>,
     _task: JoinSet<()>,
 }
 
@@ -106,7 +111,7 @@
         Watch { demand, told, _task: task }
     }
 
-    async fn news(watch: &mut Option<Watch>) -> (Source, RouteNews) {
+    async fn news(watch: &mut Option<Watch>) -> SourceNews {
         match watch {
             Some(watch) => match watch.told.recv().await {
                 Some(told) => told,
@@ -196,7 +201,8 @@
         let core = core.map_err(|e| io::Error::other(e.to_string()))?;
         let mut shell = Shell::new(clock, core, gate.clone(), config.conf.clone(), &config.sockets);
         (shell.workers, shell.close) = (workers, close);
-        let routes = |news| Event::Routes { source: Source::Discovery, news };
+        let since = clock.now();
+        let routes = |news| Event::Routes { source: Source::Discovery, since, news };
         let index = config.known.as_ref().map(|known| known.index);
         let known = config.known.unwrap_or_default().hops(&config.conf);
         let listed = known.len();
@@ -207,6 +213,7 @@
         shell.feed(Event::Configured { discovery: config.discovery, index, needs_restart: vec![] });
         let (tell, mut told) = mpsc::channel(TOLD);
         if let Some(zookeeper) = config.zookeeper {
+            shell.feed(Event::Expires { source: Source::ZooKeeper });
             tokio::spawn(Nodes { config: zookeeper, conf: config.conf.clone(), tell }.run());
         }
         let front = Front { gate: gate.clone(), conf: config.conf.clone(), ready: shell.ready.clone() };
@@ -224,18 +231,18 @@
             let due = tokio::time::sleep_until(alarm.unwrap_or_else(tokio::time::Instant::now));
             tokio::select! {
                 _ = heard.recv_many(&mut batch, BATCH) => shell.take(&mut batch),
-                Some((source, news)) = told.recv() => shell.feed(Event::Routes { source, news }),
-                (source, news) = Watch::news(&mut shell.watch) => match shell.next_watch {
-                    Some(_) => shell.feed(Event::FormerRoutes { source, news }),
-                    None => shell.feed(Event::Routes { source, news }),
+                Some(told) = told.recv() => shell.hear_source(told),
+                told = Watch::news(&mut shell.watch) => match shell.next_watch {
+                    Some(_) => shell.feed(Event::FormerRoutes { source: told.source, news: told.news }),
+                    None => shell.hear_source(told),
                 },
-                (source, news) = Watch::news(&mut shell.next_watch) => {
+                told = Watch::news(&mut shell.next_watch) => {
                     // Prevents: the old watch is dropped for one that has told nothing yet. Before changes a watch
                     // from nowhere has told an answer to a call for the list, whole or not.
-                    if !matches!(news, RouteNews::Lost(_)) {
+                    if !matches!(told.news, RouteNews::Lost(_)) {
                         shell.watch = shell.next_watch.take();
                     }
-                    shell.feed(Event::Routes { source, news });
+                    shell.hear_source(told);
                 }
                 Some(Reload { discovery, needs_restart }) = reloads.recv() => {
                     let discovery = Some(discovery);
@@ -313,6 +320,11 @@
         }
     }
 
+    fn hear_source(&mut self, SourceNews { source, since, news }: SourceNews) {
+        let since = self.clock.micros(since.into_std());
+        self.feed(Event::Routes { source, since, news });
+    }
+
     fn feed(&mut self, event: Event) {
         if let Event::Left { ticket } = &event {
             self.waiting.remove(ticket);
--- a/crates/net/src/shell/tests.rs
+++ b/crates/net/src/shell/tests.rs
@@ -18,7 +18,7 @@
     let core = Core::new(config.settings, config.seed, Retention::default()).unwrap();
     let mut shell = Shell::new(Clock::start(), core, gate, config.conf.clone(), &config.sockets);
     let known = config.known.unwrap().hops(&config.conf);
-    shell.feed(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(known) });
+    shell.feed(Event::Routes { source: Source::Discovery, since: 0, news: RouteNews::Whole(known) });
     (shell, heard)
 }
 
--- a/crates/net/src/shell/tests/sockets.rs
+++ b/crates/net/src/shell/tests/sockets.rs
@@ -20,7 +20,7 @@
     let core = Core::new(conf.settings().unwrap(), 7, Retention::default()).unwrap();
     let mut shell = Shell::new(Clock::start(), core, gate, conf, &sockets);
     let lines = hops.iter().enumerate().map(|(n, listener)| line(n, listener)).collect();
-    shell.feed(Event::Routes { source: Source::Discovery, news: RouteNews::Whole(lines) });
+    shell.feed(Event::Routes { source: Source::Discovery, since: 0, news: RouteNews::Whole(lines) });
     (shell, heard)
 }
 
@@ -257,7 +257,7 @@
     block_on(async {
         for n in 0..NAMES {
             let news = RouteNews::Whole(vec![line(n, &hops[0])]);
-            shell.feed(Event::Routes { source: Source::Discovery, news });
+            shell.feed(Event::Routes { source: Source::Discovery, since: 0, news });
             let (waiting, mut answered) = handed_in(n as u64);
             shell.take(&mut vec![waiting]);
             while answered.is_empty() {
--- a/crates/net/tests/watch_log.rs
+++ b/crates/net/tests/watch_log.rs
@@ -77,7 +77,7 @@
         // It may have had enough before all is written.
         let _ = write!(watch, "{:x}\r\n{said}\n\r\n", said.len() + 1);
         drop((watch, peer));
-        while !matches!(told.blocking_recv().unwrap().1, RouteNews::Lost(_)) {}
+        while !matches!(told.blocking_recv().unwrap().news, RouteNews::Lost(_)) {}
         let lines = std::mem::take(&mut *logged.0.lock().unwrap());
         assert!(lines.iter().all(|l| l.len() < 500), "{names}: {}", lines.concat().len());
         assert_eq!(lines.iter().filter(|l| l.contains(names)).count(), 1, "{names}: {lines:?}");
--- a/crates/net/tests/watches.rs
+++ b/crates/net/tests/watches.rs
@@ -3,7 +3,7 @@
 use pumiceway_core::{RouteNews, Source};
 use pumiceway_decisions::rules::Contact;
 use pumiceway_decisions::settings::Conf;
-use pumiceway_net::discovery::Watcher;
+use pumiceway_net::discovery::{SourceNews, Watcher};
 use pumiceway_rig::{Peer, SETTINGS, Stage, endpoint_line as line, listing, serve_each};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -98,7 +98,7 @@
 
 /// The settings of the scenarios as those of so many dispatchers, whose lists are asked for or pushed.
 fn settings(discovery: &str, ask_within_ms: u64, instances: usize) -> String {
-    let rules = format!(r#""rules":{{"ask-within-us":{}}}"#, ask_within_ms * 1_000);
+    let rules = format!(r#""rules":{{"ask-within-us":{},"drain-grace-us":500000}}"#, ask_within_ms * 1_000);
     let rest = format!(r#""discovery":"{discovery}","n-instances":{instances}"#);
     SETTINGS.replacen(r#""rules":{}"#, &format!("{rules},{rest}"), 1)
 }
@@ -237,7 +237,7 @@
     });
 }
 
-fn watcher(discovery: &TcpListener, instances: usize) -> (Watcher, mpsc::Receiver<(Source, RouteNews)>) {
+fn watcher(discovery: &TcpListener, instances: usize) -> (Watcher, mpsc::Receiver<SourceNews>) {
     let conf: Conf = serde_json::from_str(&settings("subscribe", 10_000, instances)).unwrap();
     let (tell, told) = mpsc::channel(1);
     let address = discovery.local_addr().unwrap().to_string();
@@ -254,8 +254,8 @@
     let begun = Instant::now();
     draws(watcher, &[0.05, 0.95]);
     let _hangs = called(&discovery, SOON).unwrap();
-    let lost = RouteNews::Lost(Contact::Unusable);
-    assert_eq!(told.blocking_recv(), Some((Source::Discovery, lost)));
+    let lost = told.blocking_recv().unwrap();
+    assert_eq!((lost.source, lost.news), (Source::Discovery, RouteNews::Lost(Contact::CallFailed)));
     called(&discovery, SOON).unwrap();
     // At first no more than 0.15 s, its patience, and then less than 1.05 s or more than 1.75 s.
     assert!(begun.elapsed() > Duration::from_millis(4_200), "{:?}", begun.elapsed());
@@ -292,17 +292,17 @@
     // Longer than a silence.
     std::thread::sleep(Duration::from_millis(2_700));
     for n in 0..written {
-        let news = told.blocking_recv().unwrap().1;
+        let news = told.blocking_recv().unwrap().news;
         assert!(matches!(news, RouteNews::Changes(lines) if lines.len() == 1_000), "the {n}th of {written}");
     }
     // What is silence is told as such.
-    assert_eq!(told.blocking_recv().unwrap().1, RouteNews::Lost(Contact::Unusable));
+    assert_eq!(told.blocking_recv().unwrap().news, RouteNews::Lost(Contact::WatchSilent));
 }
 
-// Guards against a whole list older than what was told before putting a worker that drains back into use, and against
-// one that stays out of it when discovery has begun to count anew.
+// Guards against a list older than what was told before putting a worker that drains back into use, itself or by what
+// changes after it, and against one that stays out of it when discovery has begun to count anew.
 #[test]
-fn an_older_list_takes_no_drain_back_and_what_changes_after_it_holds() {
+fn an_older_list_takes_no_drain_back_until_discovery_has_counted_anew_for_long() {
     let mut stage = asked(&["w1", "w2", "discovery"]);
     let ready = |hop: &str| line(hop, 1, "ready");
     stage.go_on(&format!(
@@ -329,8 +329,25 @@
     ));
     stage.until_listed("w4", "Ready");
     stage.until_listed("w1", "Draining");
-    stage.go_on(&format!("f send + {}", listing(4, false, &[ready("w1")])));
-    stage.until_listed("w1", "Ready");
+    // A service that lags behind itself words so what it has not yet told: it is behind what took the worker out.
+    stage.go_on(&format!("f send + {}", listing(4, false, &[ready("w1"), ready("w5")])));
+    stage.until_listed("w5", "Ready");
+    stage.until_listed("w1", "Draining");
+    // One that is behind for longer than it may be late counts anew, and is asked for all it has.
+    let discovery = stage.take("discovery");
+    let begun = Instant::now();
+    stage.go_on("f close");
+    while begun.elapsed() < SOON {
+        let mut call = called(&discovery, SOON).unwrap();
+        if !call.asked.contains("stream=1") {
+            call.peer.send(&format!("json {}", listing(4, true, &[ready("w1")])));
+            stage.until_listed("w1", "Ready");
+            return;
+        }
+        call.peer.send("200");
+        call.peer.send(&format!("+ {}", listing(4, false, &[])));
+    }
+    panic!("nobody asks for the whole list");
 }
 
 // Guards against a dispatcher that stays with an address that discovery has left, as the new one words its first list
@@ -535,6 +552,22 @@
     let mut first = called(&discovery, SOON).unwrap();
     first.peer.send("200");
     first.peer.send(&format!("+ {}", listing(1, false, &[])));
+    let (mut sent, mut client) = (0, Peer::new(TcpStream::connect(stage.http).unwrap()));
+    // Where lists are pushed, what the agent has counts once its watch has ended: until the next confirms the list, a job may
+    // be turned down, but not sent.
+    let mut job = |may_be_refused: bool| {
+        sent += 1;
+        client.send(&format!("POST /rate-push/k t{sent} 5000 x"));
+        let answer = client.message().unwrap_or_else(|e| panic!("{what}: {e}"));
+        let refused = may_be_refused && lists == "automatic" && answer.starts_with("HTTP/1.1 503");
+        assert!(answer.starts_with("HTTP/1.1 200") || refused, "{what}: {answer}");
+    };
+    // Its worker is in use, with a connection that is kept.
+    let begun = Instant::now();
+    while !had.lock().unwrap().iter().any(|h| h.0 == "w1") {
+        job(false);
+        assert!(begun.elapsed() < SOON, "{what}: the worker is never used");
+    }
     drop(first);
     let mut watch = called(&discovery, SOON).unwrap();
     match cut {
@@ -550,18 +583,6 @@
     if cut == Cut::Line {
         watch.peer.send(&chunk(drain.split_at(drain.find("draining").unwrap() + 3).0));
     }
-    let (mut sent, mut client) = (0, Peer::new(TcpStream::connect(stage.http).unwrap()));
-    let mut job = || {
-        sent += 1;
-        client.send(&format!("POST /rate-push/k t{sent} 5000 x"));
-        client.expect("200 yes").unwrap_or_else(|e| panic!("{what}: {e}"));
-    };
-    // Its worker is in use, with a connection that is kept.
-    let begun = Instant::now();
-    while !had.lock().unwrap().iter().any(|h| h.0 == "w1") {
-        job();
-        assert!(begun.elapsed() < SOON, "{what}: the worker is never used");
-    }
     let reset = |call: Call| {
         socket2::SockRef::from(&call.stream).set_linger(Some(Duration::ZERO)).unwrap();
     };
@@ -604,7 +625,7 @@
         if let Some(told) = told.filter(|told| told.elapsed() > GRACE * 3 / 2) {
             break told + GRACE;
         }
-        job();
+        job(true);
         std::thread::sleep(Duration::from_millis(3));
     };
     let path = match cut {
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -209,6 +209,7 @@
         report_via: ReportVia::Answers,
         list_by_asking: true,
         ask_within: 10 * SECOND,
+        drain_grace: GRACE,
         probes: true,
         cancel: true,
         second_copies: true,
@@ -508,7 +509,8 @@
             Some(Planted::BootstrapConfirmed) => RouteNews::Whole(known),
             _ => RouteNews::Bootstrap(known),
         };
-        self.hears(life, Event::Routes { source: Source::Discovery, news });
+        let (source, since) = (Source::Discovery, self.now);
+        self.hears(life, Event::Routes { source, since, news });
         let discovery = Some("discovery".to_owned());
         self.hears(life, Event::Configured { discovery, index: Some(told as u64), needs_restart: vec![] });
     }
@@ -975,10 +977,10 @@
         let wait = self.discovery_free - self.now;
         if wait > CALL {
             let pace = &mut self.instances[life.0].pace;
-            let again = pace.longest().as_micros() as Micros + CALL;
             let wait = pace.next(Duration::from_micros(CALL), false, self.rng.f64());
-            let news = RouteNews::Lost(Contact::Unreachable(again));
-            self.plan_in(CALL, What::Hears(life, Event::Routes { source: Source::Discovery, news }));
+            let news = RouteNews::Lost(Contact::CallFailed);
+            let (source, since) = (Source::Discovery, self.now);
+            self.plan_in(CALL, What::Hears(life, Event::Routes { source, since, news }));
             self.plan_in(CALL + wait.as_micros() as Micros, What::Call(life, asked));
         } else {
             self.plan_in(wait, What::Served(life, asked));
@@ -1033,13 +1035,15 @@
             }
         };
         let late = if self.plan.planted == Some(Planted::NewsHeldBack) { 2 * SECOND } else { 0 };
-        self.plan_in(late, What::Hears(life, Event::Routes { source: Source::Discovery, news }));
+        let (source, since) = (Source::Discovery, self.now);
+        self.plan_in(late, What::Hears(life, Event::Routes { source, since, news }));
     }
 
     fn heartbeat(&mut self, life: Life, asked: u32) {
         let stands = self.instances[life.0].watches && self.instances[life.0].asked == asked;
         if self.alive(life) && stands && !self.day_over() {
-            self.hears(life, Event::Routes { source: Source::Discovery, news: RouteNews::Unchanged });
+            let (source, since, news) = (Source::Discovery, self.now, RouteNews::Unchanged);
+            self.hears(life, Event::Routes { source, since, news });
             self.plan_in(HEARTBEAT, What::Heartbeat(life, asked));
         }
     }
