--- a/crates/decisions/src/rules/membership.rs
+++ b/crates/decisions/src/rules/membership.rs
@@ -20,10 +20,8 @@
     Confirmed,
     /// It told a list that is older than one it has told before. Nobody knows what has changed since.
     Outdated,
-    /// Its watch has ended, or said something that can't be used.
+    /// Its watch has ended, has said something that can't be used, or is given up as it says nothing any more.
     WatchEnded,
-    /// Its watch stands and says nothing any more.
-    WatchSilent,
     /// A call for a watch or a list failed, in whatever way.
     CallFailed,
 }
@@ -31,7 +29,7 @@
 /// For how long a source's list holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseTerms {
-    /// After the last word on a watch that stands, or has fallen silent.
+    /// After the last word on a watch that stands, or is silent and not yet given up.
     watched: Micros,
     /// Once the watch has ended.
     unwatched: Unwatched,
@@ -95,7 +93,7 @@
     }
 
     /// Takes in what the source has let us know. `since` is the earliest time at which it can have been so: for a word,
-    /// when it can have been said; for the end of a watch, when that was last seen to stand.
+    /// when it can have been said; for the end of a watch, when that was last seen to stand or was given up.
     pub fn note(&mut self, since: Micros, contact: Contact) {
         let Some(terms) = self.terms else {
             if contact == Contact::Confirmed {
@@ -116,15 +114,10 @@
                 };
                 *until = (*until).min(ends);
             }
-            (Contact::WatchSilent, State::Confirmed { since: known, until }) => {
-                if let Unwatched::AfterLastWord(time) = terms.unwatched {
-                    *until = (*until).min(known.saturating_add(time));
-                }
-            }
             // A crowded discovery fails calls in the same way as one that is down, and only the second has nothing to tell:
             // what nobody has shown renews nothing.
             (Contact::CallFailed | Contact::Outdated, _) => {}
-            (Contact::Confirmed | Contact::WatchEnded | Contact::WatchSilent, _) => {}
+            (Contact::Confirmed | Contact::WatchEnded, _) => {}
         }
     }
 
--- a/crates/net/src/discovery/watcher.rs
+++ b/crates/net/src/discovery/watcher.rs
@@ -144,7 +144,8 @@
             malformed = matches!(broken, Broken::Malformed(_));
             let (since, contact) = match (&broken, &self.watch) {
                 (_, None) => (called, Contact::CallFailed),
-                (Broken::Silent, Some(watch)) => (watch.stood, Contact::WatchSilent),
+                // A watch that is given up as silent stood until now.
+                (Broken::Silent, Some(_)) => (Instant::now(), Contact::WatchEnded),
                 (_, Some(watch)) => (watch.stood, Contact::WatchEnded),
             };
             let why = match broken {
--- a/crates/rig/src/processes/workers.rs
+++ b/crates/rig/src/processes/workers.rs
@@ -49,6 +49,8 @@
     pub worker: usize,
     /// Its `X-Txn`.
     pub id: String,
+    /// How long the dispatcher says that it will wait.
+    pub told: Option<Duration>,
 }
 
 /// All workers.
@@ -80,8 +82,10 @@
     fn serve(&self, worker: usize, mut peer: Peer) {
         while let Ok(request) = peer.message() {
             let at = Instant::now();
-            let id = request.lines().find_map(|l| l.strip_prefix("x-txn: ")).unwrap_or_default().to_owned();
-            self.arrivals.lock().unwrap().push(Arrival { at, worker, id });
+            let header = |name: &str| request.lines().find_map(|l| l.strip_prefix(name)).map(str::to_owned);
+            let told = header("x-remaining-ms: ").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
+            let id = header("x-txn: ").unwrap_or_default();
+            self.arrivals.lock().unwrap().push(Arrival { at, worker, id, told });
             let conduct = self.conduct.lock().unwrap()[worker];
             match conduct {
                 Conduct::Serves => {
@@ -128,7 +132,28 @@
 
     /// The whole list, as discovery words it.
     pub fn whole_list(&self) -> String {
+        self.whole_list_at().1
+    }
+
+    /// The version that the list has now, and the whole of it.
+    pub fn whole_list_at(&self) -> (u64, String) {
         let changes = self.changes();
+        (changes.len() as u64, self.list_after(&changes))
+    }
+
+    /// The whole list as it was before some of the last changes, with its version.
+    pub fn list_before_last_change(&self) -> (u64, String) {
+        let mut changes = self.changes();
+        changes.truncate(changes.len().saturating_sub(3));
+        (changes.len() as u64, self.list_after(&changes))
+    }
+
+    /// How many lines have changed since this version.
+    pub fn changed_since(&self, version: u64) -> usize {
+        self.version().saturating_sub(version) as usize
+    }
+
+    fn list_after(&self, changes: &[Change]) -> String {
         let status =
             |worker| changes.iter().rev().find(|c| c.worker == worker).map_or(Status::Ready, |c| c.status);
         let listed = (0..self.count()).filter(|&w| status(w) != Status::Gone);
