--- a/crates/net/src/discovery/watcher.rs
+++ b/crates/net/src/discovery/watcher.rs
@@ -28,9 +28,9 @@
 const HEARTBEAT_LEAST: Duration = Duration::from_secs(1);
 /// A value that a watch tells may be this long, and a whole list.
 const LINE_MOST: usize = 4 << 20;
-/// A service whose versions stay below what it has told for this long counts anew: one that lagged behind itself would have
-/// told by then whatever it has to tell.
-const RENUMBERED_AFTER: Duration = Duration::from_secs(6);
+/// A service that tells lower versions than before, and nothing else for so long, in answer to call after call, counts anew. One
+/// that lags behind itself catches up long before that: what it has to tell counts as notified after 6 s.
+const RENUMBERED_AFTER: Duration = Duration::from_secs(60);
 
 /// Watches a discovery service and tells of its route set until the receiver is gone.
 pub struct Watcher {
@@ -46,6 +46,8 @@
     pub demand: Arc<Notify>,
     /// Who is told.
     pub tell: mpsc::Sender<SourceNews>,
+    /// Versions that stay lower than before for this long count anew.
+    pub renumbered_after: Duration,
     /// The highest version that was told; after a restart of the service the one it is at may be lower.
     newest: Option<u64>,
     /// Since when it has told versions below that only.
@@ -113,6 +115,7 @@
             moved,
             demand: Arc::default(),
             tell,
+            renumbered_after: RENUMBERED_AFTER,
             newest: index,
             outdated_since: None,
             watch: None,
@@ -178,7 +181,10 @@
         // Prevents: a value that trickles in keeps the watch for ever. It is whole within the time of a silence.
         let (mut pieces, mut begun, mut since) = (Pieces::default(), Instant::now(), called);
         loop {
-            let frame = body.next(begun + SILENCE).await;
+            // Prevents: a watch that never tells its list is kept for its empty lines, and no other is opened.
+            let told = self.watch.as_ref().is_some_and(|watch| watch.told);
+            let waits_from = if told { begun } else { opened };
+            let frame = body.next(waits_from + SILENCE).await;
             let read_up_to = body.read_up_to();
             self.watch.iter_mut().for_each(|watch| watch.stood = read_up_to);
             let Some(frame) = frame? else { return Ok(()) };
@@ -273,7 +279,7 @@
             return Ok(false);
         }
         let outdated_since = *self.outdated_since.get_or_insert(Instant::now());
-        if since.saturating_duration_since(outdated_since) < RENUMBERED_AFTER {
+        if since.saturating_duration_since(outdated_since) < self.renumbered_after {
             return Ok(true);
         }
         (self.newest, self.outdated_since) = (Some(index), None);
--- a/crates/net/tests/zookeeper.rs
+++ b/crates/net/tests/zookeeper.rs
@@ -18,6 +18,8 @@
 struct State {
     nodes: BTreeMap<String, String>,
     watchers: Vec<TcpStream>,
+    /// It reads what it is sent and answers nothing.
+    silent: bool,
 }
 
 /// Strings and buffers go with their length in front.
@@ -88,6 +90,9 @@
         let _ = out.write_all(&frame(&[&0i32.to_be_bytes(), timeout, &7i64.to_be_bytes(), &password, &[0]]));
         while let Some((request, mut out)) = read() {
             let mut state = self.0.lock().unwrap();
+            if state.silent {
+                continue;
+            }
             let (xid, operation) = (&request[..4], i32::from_be_bytes(request[4..8].try_into().unwrap()));
             let path = || String::from_utf8_lossy(&request[12..12 + request[11] as usize]).into_owned();
             let mut error = 0i32;
@@ -171,3 +176,36 @@
          c expect 200 2",
     );
 }
+
+// Guards against an ensemble that says nothing any more: what it listed last stood for as long as the program ran.
+#[test]
+fn a_node_is_used_only_while_the_ensemble_answers() {
+    let server = Server::default();
+    // Longer than the list may be used: the session itself does not end before that.
+    let (servers, session_timeout) = (server.start(), Duration::from_secs(60));
+    let mut stage =
+        Stage::with(&["w1"], Some(ZooKeeperConfig { servers, path: PATH.to_owned(), session_timeout }));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    stage.add("z1", listener);
+    server.set("aa", Some(format!(r#"{{"address":"{address}","zone":"z","type":"k"}}"#)));
+    until(&stage, "aa\tReady");
+    // For longer than its list holds without being confirmed.
+    std::thread::sleep(Duration::from_millis(6_500));
+    stage.go_on(
+        "c send POST /rate-push/k t1 5000 x
+         z1 wait a
+         a expect POST /rate-push/k t1
+         a send done 1
+         c expect 200 1",
+    );
+    server.0.lock().unwrap().silent = true;
+    std::thread::sleep(Duration::from_millis(6_500));
+    stage.go_on(
+        "c send POST /rate-push/k t2 5000 x
+         w1 wait b
+         b expect POST /rate-push/k t2
+         b send done 2
+         c expect 200 2",
+    );
+}
--- a/crates/rig/src/processes/mod.rs
+++ b/crates/rig/src/processes/mod.rs
@@ -197,7 +197,7 @@
         let service = Service::start(workers.clone());
         let bootstrap = workers.whole_list();
         let dispatcher = |number| {
-            let link = Link::start(service.clone());
+            let link = Link::start(service.clone(), conditions.lists);
             let file = format!("pumiceway-fleet-{}-{:p}-{number}.json", std::process::id(), link);
             Dispatcher {
                 number,
