--- a/crates/rig/src/processes/discovery.rs
+++ b/crates/rig/src/processes/discovery.rs
@@ -351,8 +351,9 @@
         let counts = since.filter_map(|(n, moved)| {
             // Whatever was heard at a later address stands for this one as well.
             let heard = state.moves[n..].iter().filter_map(|later| later.heard).min();
+            // What is heard there after the change tells it, which counts by itself.
             let counts = (moved.at + terms.after_move).max(reached);
-            heard.is_none_or(|heard| heard > counts).then_some(counts)
+            heard.is_none_or(|heard| heard > reached).then_some(counts)
         });
         counts.min()
     }
