--- a/crates/rig/src/processes/mod.rs
+++ b/crates/rig/src/processes/mod.rs
@@ -293,11 +293,12 @@
     /// Kills its process and waits for its end.
     pub fn kill(&self) {
         *self.address.lock().unwrap() = None;
-        self.note(|life| life.killed = Some(Instant::now()));
         if let Some(mut child) = self.child.lock().unwrap().take() {
             let _ = child.kill();
             let _ = child.wait();
         }
+        // Afterwards: what comes until it is dead is lost with it.
+        self.note(|life| life.killed = Some(Instant::now()));
     }
 
     /// Tells its process to stop, twice where so asked, and kills it at the earliest time at which that may happen.
