Second reading: one place says when a change counts as notified; one script in a test

Found by reading the whole change once more: the judge's two readings of asked and pushed lists shared their structure, and two tests of ZooKeeper a script. Each stands once now.

--- a/crates/net/tests/zookeeper.rs
+++ b/crates/net/tests/zookeeper.rs
@@ -143,6 +143,17 @@
     panic!("the route set never showed {line:?}");
 }
 
+/// A client's request is served by this hop.
+fn serves(stage: &mut Stage, hop: &str, id: &str) {
+    stage.go_on(&format!(
+        "c send POST /rate-push/k {id} 5000 x
+         {hop} wait {hop}{id}
+         {hop}{id} expect POST /rate-push/k {id}
+         {hop}{id} send done {id}
+         c expect 200 {id}"
+    ));
+}
+
 // Guards against a worker that is sent jobs after its ephemeral node has gone, and against a session that ends.
 #[test]
 fn an_ephemeral_node_is_a_next_hop_for_as_long_as_it_is_there() {
@@ -158,23 +169,11 @@
     server.set("bad", Some("nonsense".to_owned()));
     until(&stage, "aa\tReady");
     until(&stage, "w1\tReady");
-    stage.go_on(
-        "c send POST /rate-push/k t1 5000 x
-         z1 wait a
-         a expect POST /rate-push/k t1
-         a send done 1
-         c expect 200 1",
-    );
+    serves(&mut stage, "z1", "t1");
     server.drop_sessions();
     server.set("aa", None);
     until(&stage, "aa\tGone");
-    stage.go_on(
-        "c send POST /rate-push/k t2 5000 x
-         w1 wait b
-         b expect POST /rate-push/k t2
-         b send done 2
-         c expect 200 2",
-    );
+    serves(&mut stage, "w1", "t2");
 }
 
 // Guards against an ensemble that says nothing any more: what it listed last stood for as long as the program ran.
@@ -192,20 +191,8 @@
     until(&stage, "aa\tReady");
     // For longer than its list holds without being confirmed.
     std::thread::sleep(Duration::from_millis(6_500));
-    stage.go_on(
-        "c send POST /rate-push/k t1 5000 x
-         z1 wait a
-         a expect POST /rate-push/k t1
-         a send done 1
-         c expect 200 1",
-    );
+    serves(&mut stage, "z1", "t1");
     server.0.lock().unwrap().silent = true;
     std::thread::sleep(Duration::from_millis(6_500));
-    stage.go_on(
-        "c send POST /rate-push/k t2 5000 x
-         w1 wait b
-         b expect POST /rate-push/k t2
-         b send done 2
-         c expect 200 2",
-    );
+    serves(&mut stage, "w1", "t2");
 }
--- a/crates/rig/src/processes/discovery.rs
+++ b/crates/rig/src/processes/discovery.rs
@@ -313,9 +313,9 @@
         state.moves.push(Move { at: Instant::now(), address, heard: None });
     }
 
-    /// When a change counts as notified to a process that was started at this time, as terms of asked lists have it: when it was
-    /// written to it, so long after discovery had it and could be reached, or after a move that it has not heard from since.
-    pub fn notified_asked(
+    /// When a change counts as notified to a process that was started at this time: when it was written to it, so long after discovery
+    /// had it and could be reached, or after a move that it has not heard from since.
+    pub fn notified(
         &self,
         started: Instant,
         changed: Instant,
@@ -323,29 +323,23 @@
         terms: &Terms,
     ) -> Option<Instant> {
         let reached = self.service.reachable_from(changed);
-        let counts = reached.map(|at| at + terms.within);
         let moved = reached.and_then(|at| self.after_move(started, at, terms));
+        let counts = match (self.lists, moved) {
+            (Lists::Asked, _) => reached.map(|at| at + terms.within),
+            (Lists::Pushed, Some(_)) => moved,
+            (Lists::Pushed, None) => reached.map(|at| self.counts_beside(at, terms)),
+        };
         [counts, moved, self.written(started, version)].into_iter().flatten().min()
     }
 
-    /// The same where lists are pushed: what the agent has counts at once, unless a watch stands that is silent.
-    pub fn notified_pushed(
-        &self,
-        started: Instant,
-        changed: Instant,
-        version: u64,
-        terms: &Terms,
-    ) -> Option<Instant> {
-        let reached = self.service.reachable_from(changed);
-        let counts = reached.map(|at| match self.silence(at) {
+    /// When what an agent has since this time counts: at once, unless a watch stands that is silent.
+    fn counts_beside(&self, at: Instant, terms: &Terms) -> Instant {
+        match self.silence(at) {
             Some((silent, closed)) => {
                 (silent + terms.within).max(at).min(closed.unwrap_or(at + terms.within))
             }
             None => at,
-        });
-        let moved = reached.and_then(|at| self.after_move(started, at, terms));
-        let counts = if moved.is_some() { moved } else { counts };
-        [counts, self.written(started, version)].into_iter().flatten().min()
+        }
     }
 
     fn written(&self, started: Instant, version: u64) -> Option<Instant> {
--- a/crates/rig/src/processes/judge.rs
+++ b/crates/rig/src/processes/judge.rs
@@ -3,7 +3,7 @@
 use super::clients::{Connection, End, Sent};
 use super::discovery::Terms;
 use super::workers::{Arrival, Status};
-use super::{Life, Lists, World};
+use super::{Life, World};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -90,10 +90,7 @@
     let started = life(world, request.dispatcher, request.at)?.from;
     let link = &world.dispatchers[request.dispatcher].link;
     let (changed, version) = (leaves.at, leaves.version);
-    let notified = match world.conditions.lists {
-        Lists::Asked => link.notified_asked(started, changed, version, &TERMS),
-        Lists::Pushed => link.notified_pushed(started, changed, version, &TERMS),
-    }?;
+    let notified = link.notified(started, changed, version, &TERMS)?;
     let latest = notified.max(started) + GRACE + SLACK;
     (arrival.at > latest).then(|| arrival.at - notified)
 }
