--- a/crates/decisions/src/rules/membership.rs
+++ b/crates/decisions/src/rules/membership.rs
@@ -1,7 +1,8 @@
-//! How long a list of endpoints may be used: a lease, held from the time for which its source has shown it to be current.
+//! How long a list of endpoints may be used: a lease, held from the time for which its source has shown it to
+//! be current.
 //!
-//! Only what a source has said renews a lease. That nothing was heard, whatever the reason, renews nothing: a call that
-//! fails, a watch that ends or one that is silent may each hide a change.
+//! Only what a source has said renews a lease. That nothing was heard, whatever the reason, renews nothing: a
+//! call that fails, a watch that ends or one that is silent may each hide a change.
 
 use crate::api::{Micros, Settings};
 
@@ -20,7 +21,8 @@
     Confirmed,
     /// It told a list that is older than one it has told before. Nobody knows what has changed since.
     Outdated,
-    /// Its watch has ended, has said something that can't be used, or is given up as it says nothing any more.
+    /// Its watch has ended, has said something that can't be used, or is given up as it says nothing any
+    /// more.
     WatchEnded,
     /// A call for a watch or a list failed, in whatever way.
     CallFailed,
@@ -40,7 +42,8 @@
 enum Unwatched {
     /// So long after the last word: so long a dispatcher without a watch is held to its list.
     AfterLastWord(Micros),
-    /// So long after the watch ended: what an agent beside the dispatcher has counts as notified at once, watched or not.
+    /// So long after the watch ended: what an agent beside the dispatcher has counts as notified at once,
+    /// watched or not.
     AfterEnd(Micros),
 }
 
@@ -55,8 +58,8 @@
         LeaseTerms { watched: NOTIFIED_WITHIN, unwatched }
     }
 
-    /// For a source whose word has to be renewed and that tells of its own end: its list holds for as long as that of a
-    /// watch, however its session ends.
+    /// For a source whose word has to be renewed and that tells of its own end: its list holds for as long as
+    /// that of a watch, however its session ends.
     pub fn of_session() -> LeaseTerms {
         LeaseTerms { watched: NOTIFIED_WITHIN, unwatched: Unwatched::AfterLastWord(NOTIFIED_WITHIN) }
     }
@@ -92,8 +95,9 @@
         }
     }
 
-    /// Takes in what the source has let us know. `since` is the earliest time at which it can have been so: for a word,
-    /// when it can have been said; for the end of a watch, when that was last seen to stand or was given up.
+    /// Takes in what the source has let us know. `since` is the earliest time at which it can have been so:
+    /// for a word, when it can have been said; for the end of a watch, when that was last seen to stand or
+    /// was given up.
     pub fn note(&mut self, since: Micros, contact: Contact) {
         let Some(terms) = self.terms else {
             if contact == Contact::Confirmed {
@@ -114,8 +118,8 @@
                 };
                 *until = (*until).min(ends);
             }
-            // A crowded discovery fails calls in the same way as one that is down, and only the second has nothing to tell:
-            // what nobody has shown renews nothing.
+            // A crowded discovery fails calls in the same way as one that is down, and only the second has
+            // nothing to tell: what nobody has shown renews nothing.
             (Contact::CallFailed | Contact::Outdated, _) => {}
             (Contact::Confirmed | Contact::WatchEnded, _) => {}
         }
