Log what was read of a request when a client's connection is closed

Change: the line has the phase, the bytes read of a request without a response, and the final response if one is sent.

--- a/crates/net/src/frontend/admission/close.rs
+++ b/crates/net/src/frontend/admission/close.rs
@@ -50,6 +50,14 @@
 }
 
 impl FinalResponse {
+    /// The name of the response in log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            FinalResponse::RequestTimeout => "request_timeout",
+            FinalResponse::Overloaded => "overloaded",
+        }
+    }
+
     fn encode(self) -> String {
         match self {
             FinalResponse::RequestTimeout => {
--- a/crates/net/src/frontend/admission/connection.rs
+++ b/crates/net/src/frontend/admission/connection.rs
@@ -65,6 +65,18 @@
             ConnectionPhase::FirstRequest | ConnectionPhase::ReadingRequest
         )
     }
+
+    /// The name of the phase in log lines.
+    fn as_str(self) -> &'static str {
+        match self {
+            ConnectionPhase::FirstRequest => "first_request",
+            ConnectionPhase::Idle => "idle",
+            ConnectionPhase::ReadingRequest => "reading_request",
+            ConnectionPhase::AwaitingResponse => "awaiting_response",
+            ConnectionPhase::WritingResponse => "writing_response",
+            ConnectionPhase::Closing => "closing",
+        }
+    }
 }
 
 /// Whether a connection is evicted to admit another one.
@@ -198,6 +210,16 @@
         self.state().phase == ConnectionPhase::AwaitingResponse
     }
 
+    /// The name of the phase in log lines.
+    pub fn phase_name(&self) -> &'static str {
+        self.state().phase.as_str()
+    }
+
+    /// Number of bytes of the current request that were received.
+    pub fn request_bytes(&self) -> u64 {
+        self.state().message.received_bytes()
+    }
+
     /// Whether no byte has been received on the connection.
     pub fn is_new(&self) -> bool {
         let state = self.state();
--- a/crates/net/src/frontend/admission/framing.rs
+++ b/crates/net/src/frontend/admission/framing.rs
@@ -82,6 +82,11 @@
         self.line_start.clear();
     }
 
+    /// Number of bytes of the message that were received.
+    pub(super) fn received_bytes(&self) -> u64 {
+        self.received_bytes
+    }
+
     /// Whether no byte of the message has been received.
     pub(super) fn is_empty(&self) -> bool {
         self.received_bytes == 0
--- a/crates/net/src/frontend/http/connection.rs
+++ b/crates/net/src/frontend/http/connection.rs
@@ -3,7 +3,8 @@
 
 use super::{CloseSignal, wait_for_close};
 use crate::frontend::admission::{
-    self, ClientConnection, ConnectionPermit, EndReason, InspectedStream, poll_disconnected,
+    self, ClientConnection, ConnectionPermit, EndReason, FinalResponse, InspectedStream,
+    poll_disconnected,
 };
 use axum::Router;
 use axum::body::Body;
@@ -38,12 +39,15 @@
         Some(router) => serve_requests(&stream, router, connection, closing).await,
         None => EndReason::Evicted,
     };
+    let final_response = connection.final_response(reason);
     debug!(
         frontend = "http",
         reason = reason.as_str(),
+        phase = connection.phase_name(),
+        request_bytes = connection.request_bytes(),
+        final_response = final_response.map(FinalResponse::as_str),
         "connection closed"
     );
-    let final_response = connection.final_response(reason);
     admission::close(&stream, connection, final_response).await;
 }
 
