Answer requests that were half read on kept connections at the shutdown

Cause: at the close signal the frontend called hyper's graceful_shutdown for each connection that had ever carried a byte. hyper counts a kept connection as idle until the head of the next request is whole (`State::is_idle`; `busy` is called once a head is parsed) and closes it. The end was then `completed`, for which no final response is due. A first request is busy from the start in hyper, so it was read on.

A request whose head was whole was answered.

Change: hyper is no longer told. `ClientConnection` follows the bytes and decides when a connection ends: at once if it is idle or nothing has come on it, otherwise after the response, which says `Connection: close`.

Test: a_request_that_is_partially_read_at_the_shutdown_is_read_on_and_ answered, eight cases; on the old code it fails at its first, one byte of a later head ("no request was submitted").

--- a/crates/net/src/frontend/admission/connection.rs
+++ b/crates/net/src/frontend/admission/connection.rs
@@ -1,4 +1,11 @@
-//! The state of a client connection: its phase, and the timeout of that phase.
+//! The state of a client connection: its phase, the timeout of that phase, and whether it may end.
+//!
+//! A request of which any byte was read must get a final response, whatever ends its connection: a
+//! client cannot tell a request that was read from one that crossed the close. The HTTP parser
+//! counts a connection as idle until the head of a request is complete, and closes it without a
+//! response when it is told to shut down. Therefore the parser is never told; the phase, which
+//! follows the bytes, decides when a connection ends ([`ClientConnection::due_end`]) and which
+//! final response is due ([`ClientConnection::final_response`]).
 //!
 //! The state is shared by the tasks that serve, evict and close the connection. Each phase has its
 //! own timeout, which starts when the connection enters the phase.
@@ -117,6 +124,8 @@
     /// At least one request was submitted.
     has_carried_request: bool,
     eviction: Eviction,
+    /// The frontend is closing: the connection carries at most the request that has begun.
+    is_shutting_down: bool,
     /// Bytes outside of requests that were discarded since the last response.
     discarded_bytes: usize,
     message: MessageFraming,
@@ -137,6 +146,7 @@
                 since: now,
                 has_carried_request: false,
                 eviction: Eviction::None,
+                is_shutting_down: false,
                 discarded_bytes: 0,
                 message: MessageFraming::default(),
             }),
@@ -220,10 +230,27 @@
         self.state().message.received_bytes()
     }
 
-    /// Whether no byte has been received on the connection.
-    pub fn is_new(&self) -> bool {
+    /// Records that the frontend is closing.
+    pub fn shut_down(&self) {
+        self.state().is_shutting_down = true;
+    }
+
+    /// Whether the next response is the last one on the connection.
+    pub fn closes_after_response(&self) -> bool {
+        self.state().is_shutting_down
+    }
+
+    /// Why the connection has to end now, at the shutdown: it is idle, or its first request may be
+    /// on its way, which gets the final response. A request of which a byte was received is read to
+    /// its end first.
+    pub fn due_end(&self) -> Option<EndReason> {
         let state = self.state();
-        state.phase == ConnectionPhase::FirstRequest && state.message.is_empty()
+        let is_unused = match state.phase {
+            ConnectionPhase::Idle => true,
+            ConnectionPhase::FirstRequest => state.message.is_empty(),
+            _ => false,
+        };
+        (state.is_shutting_down && is_unused).then_some(EndReason::ShuttingDown)
     }
 
     /// Checks that the head of the current request frames the request unambiguously.
--- a/crates/net/src/frontend/http/connection.rs
+++ b/crates/net/src/frontend/http/connection.rs
@@ -8,6 +8,7 @@
 };
 use axum::Router;
 use axum::body::Body;
+use axum::http::{HeaderValue, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -78,15 +79,10 @@
         }
         if !is_closing && closing.as_mut().poll(cx).is_ready() {
             is_closing = true;
-            // hyper would close the connection without a response, and a first request that is on
-            // its way would be lost.
-            if connection.is_new() {
-                return Poll::Ready(EndReason::ShuttingDown);
-            }
-            http.as_mut().graceful_shutdown();
-            if http.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(EndReason::Completed);
-            }
+            connection.shut_down();
+        }
+        if let Some(reason) = connection.due_end() {
+            return Poll::Ready(reason);
         }
         if poll_disconnected(stream, connection, cx).is_ready() {
             return Poll::Ready(EndReason::Completed);
@@ -109,9 +105,13 @@
     request.extensions_mut().insert(connection.clone());
     let response = router.call(request);
     async move {
-        let response = response.await;
+        let mut response = response.await?;
+        if connection.closes_after_response() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
         connection.response_started();
-        response
+        Ok(response)
     }
 }
 
--- a/crates/net/tests/http_connections/shutdown.rs
+++ b/crates/net/tests/http_connections/shutdown.rs
@@ -1,8 +1,8 @@
 //! Connections that are open or in the backlog when the frontend is shut down.
 
 use crate::sockets::{
-    TEST_TIMEOUT, assert_overloaded, connect, read_to_end, request, send_filler_and_end,
-    wait_for_bytes, wait_until_end_is_received, wait_until_end_is_sent,
+    TEST_TIMEOUT, assert_overloaded, connect, read_head, read_to_end, request, send_filler_and_end,
+    wait_for_bytes, wait_until_all_is_read, wait_until_end_is_received, wait_until_end_is_sent,
 };
 use crate::test_frontend::TestFrontend;
 use pumiceway_core::ClientResponse;
@@ -93,6 +93,55 @@
     frontend.expect_no_message();
 }
 
+/// A connection that has carried a readiness request, and is idle.
+fn kept_connection(frontend: &TestFrontend) -> TcpStream {
+    let mut stream = frontend.connect();
+    stream.write_all(b"GET /-/ready HTTP/1.1\r\n\r\n").unwrap();
+    read_head(&stream);
+    stream
+}
+
+/// The parts of a request that may have been read when something ends its connection: the first
+/// byte, a part of the head, the whole head, and a part of the body.
+fn partial_requests(whole: &str) -> [&str; 4] {
+    let head_length = whole.find("\r\n\r\n").unwrap() + 4;
+    [1, 40, head_length, whole.len() - 1].map(|length| &whole[..length])
+}
+
+// Guards against issue 49: on a kept connection, a request of which only a part of the head had
+// been read when the frontend closed was dropped without a response.
+#[test]
+fn a_request_that_is_partially_read_at_the_shutdown_is_read_on_and_answered() {
+    let whole = request("t1", "xx");
+    for part in partial_requests(&whole) {
+        for is_kept in [true, false] {
+            let case = format!("kept: {is_kept}, read: {part:?}");
+            let mut frontend = TestFrontend::start(8, 2);
+            let idle = kept_connection(&frontend);
+            let mut stream = if is_kept {
+                kept_connection(&frontend)
+            } else {
+                frontend.connect()
+            };
+            stream.write_all(part.as_bytes()).unwrap();
+            wait_until_all_is_read(&stream);
+            frontend.close.send(true).unwrap();
+            // Once the idle connection has ended, the shutdown has reached all connections.
+            assert_eq!(read_to_end(&idle), "", "{case}");
+            stream.write_all(&whole.as_bytes()[part.len()..]).unwrap();
+            let submitted = frontend.next_request();
+            let served = ClientResponse::Served("1".into());
+            submitted.response.send(served).unwrap();
+            let response = read_to_end(&stream);
+            assert!(response.starts_with("HTTP/1.1 200"), "{case}: {response}");
+            assert!(response.contains("connection: close"), "{case}: {response}");
+            drop((stream, idle));
+            frontend.wait_for_end();
+            frontend.expect_no_message();
+        }
+    }
+}
+
 #[test]
 fn a_client_that_never_closes_delays_the_shutdown_for_a_bounded_time() {
     let mut frontend = TestFrontend::start(8, 2);
--- a/crates/net/tests/http_connections/sockets.rs
+++ b/crates/net/tests/http_connections/sockets.rs
@@ -103,6 +103,17 @@
     assert!(matches!(received, Ok(1)), "{received:?}");
 }
 
+/// Reads the head of a response, and nothing after it.
+pub fn read_head(mut stream: &TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).unwrap();
+        head.extend(byte);
+    }
+    String::from_utf8(head).unwrap()
+}
+
 /// Reads to the end of the stream. Panics on a reset, which may discard bytes before it.
 pub fn read_to_end(mut stream: &TcpStream) -> String {
     let mut text = Vec::new();
