Give up incomplete requests before the process may be killed

What callers saw: a request that was begun up to 2 s after SIGTERM and never completed, or completed late, was read for up to 2 s more, until 4 s after the signal. SIGKILL may come 3.7 s after it, with shorter deadlines earlier (1 s with a longest deadline of 0.3 s): the connection was reset without an answer.

Cause: the frontends were told that they close, and not by when; the request timeout knew nothing of the schedule of the shutdown.

Change: Effect::CloseFrontends carries the time by which late requests have their responses (3.4 s after the signal, earlier with short deadlines), and an incomplete request is given up then, with a 503 and Retry-After. The close signal has a type and a module of its own, which both frontends use.

Tests: a_partial_request_gets_an_overload_response_before_the_process_ may_be_killed (one byte, part of a head, a head, part of a body; new and kept connections); with the deadline taken out it fails, as nothing is received. with_short_deadlines_the_frontends_close_before_sigkill now checks the time in the effect too. The checks of the other core tests look for the effect with any time, as the time is checked there.

--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -89,7 +89,11 @@
     /// Report the dispatcher as ready.
     ReportReady,
     /// Stop accepting connections, and close client connections as they become idle.
-    CloseFrontends,
+    CloseFrontends {
+        /// When every request that a client has begun must have its response, as SIGKILL may follow
+        /// soon after.
+        respond_by: Timestamp,
+    },
     /// All final responses have been sent: end the process.
     Exit,
     /// Log a lease signal and the resulting expiry of the source's lease.
--- a/crates/core/src/reducer/shutdown.rs
+++ b/crates/core/src/reducer/shutdown.rs
@@ -9,7 +9,7 @@
 //! | 0 s | the shutdown starts; requests are still accepted and served, as clients may not know of it yet |
 //! | 0.6 s | requests that arrive from now on get their response within the schedule, even if their deadline is later |
 //! | 2.0 s | the frontends close: no new connections, and idle ones are closed |
-//! | 3.4 s | all requests that arrived after 0.6 s have got their responses |
+//! | 3.4 s | all requests that arrived after 0.6 s have got their responses, those that are still incomplete too |
 //! | 3.7 s | earliest SIGKILL |
 //!
 //! The process exits as soon as the frontends are closed and no client waits for a response.
@@ -127,8 +127,10 @@
     pub(super) fn close_frontends(&mut self, effects: &mut Vec<Effect>) {
         if let Phase::Draining { since } = self.shutdown.phase {
             self.shutdown.phase = Phase::Closing { since };
+            effects.push(Effect::CloseFrontends {
+                respond_by: since + self.shutdown.schedule.respond_by,
+            });
         }
-        effects.push(Effect::CloseFrontends);
     }
 
     pub(super) fn exit_if_drained(&mut self, effects: &mut Vec<Effect>) {
--- a/crates/core/tests/shutdown.rs
+++ b/crates/core/tests/shutdown.rs
@@ -8,7 +8,20 @@
     single_class, started_attempts,
 };
 use pumiceway_core::*;
-use pumiceway_decisions::api::{Idempotency, Settings};
+use pumiceway_decisions::api::{Idempotency, Settings, Timestamp};
+
+/// The times at which requests that are incomplete when the frontends close must have responses.
+fn close_times(effects: &[Effect]) -> Vec<Timestamp> {
+    let respond_by = |effect: &Effect| match effect {
+        Effect::CloseFrontends { respond_by } => Some(*respond_by),
+        _ => None,
+    };
+    effects.iter().filter_map(respond_by).collect()
+}
+
+fn closes_frontends(effects: &[Effect]) -> bool {
+    !close_times(effects).is_empty()
+}
 
 /// The deadline of a request that arrives more than 0.6 s after the signal is shortened; that of an
 /// earlier request is not.
@@ -50,11 +63,16 @@
             ..settings(Idempotency::NonIdempotent)
         };
         let mut core = TestCore::new(settings, &[endpoint("a")]);
+        let signal_at = core.now;
         core.reduce(Event::ShutdownRequested);
         let before = core.advance((closes_after_ms - 20) * MS);
-        assert!(!before.contains(&Effect::CloseFrontends), "{deadline_ms}");
+        assert!(!closes_frontends(&before), "{deadline_ms}");
         let closing = core.advance(40 * MS);
-        assert!(closing.contains(&Effect::CloseFrontends), "{deadline_ms}");
+        assert!(closes_frontends(&closing), "{deadline_ms}");
+        // Frontends have to answer requests that are incomplete by the same time as the core answers
+        // late ones.
+        let respond_by = signal_at + responds_by_ms * MS;
+        assert_eq!(close_times(&closing), [respond_by], "{deadline_ms}");
         // A request that arrives as the frontends close, and gets no result in time.
         let mut effects = core.submit_for(ONLY_CLASS, 1, deadline_ms * MS);
         effects.extend(core.advance((responds_by_ms - closes_after_ms - 20) * MS));
@@ -69,9 +87,9 @@
     core.reduce(Event::ShutdownRequested);
     let attempt = started_attempts(&core.submit_for(ONLY_CLASS, 1, 4_000 * MS))[0];
     let draining = core.advance(1_900 * MS);
-    assert!(!draining.contains(&Effect::CloseFrontends));
+    assert!(!closes_frontends(&draining));
     let closing = core.advance(200 * MS);
-    assert!(closing.contains(&Effect::CloseFrontends));
+    assert!(closes_frontends(&closing));
     let closed = core.reduce(Event::FrontendsClosed);
     assert!(!closed.contains(&Effect::Exit));
     let ended = core.end_attempt(attempt, served());
@@ -109,7 +127,7 @@
                         restart_required: vec![],
                     }));
                 }
-                while !effects.contains(&Effect::CloseFrontends) {
+                while !closes_frontends(&effects) {
                     let is_killed = core.now >= signal_at + kill_after;
                     assert!(!is_killed, "deployment {index}: the frontends stay open");
                     effects.extend(core.advance(5 * MS));
@@ -153,7 +171,7 @@
                 );
                 let count = |kind: &Effect| effects.iter().filter(|effect| *effect == kind).count();
                 assert_eq!(count(&Effect::Exit), 1, "{case}");
-                assert_eq!(count(&Effect::CloseFrontends), 1, "{case}");
+                assert_eq!(close_times(&effects).len(), 1, "{case}");
             }
         }
     }
--- a/crates/net/src/event_loop/effects.rs
+++ b/crates/net/src/event_loop/effects.rs
@@ -2,7 +2,7 @@
 
 use super::watch::WatchTask;
 use super::{EventLoop, PendingClient, RunningAttempt};
-use crate::frontend::EventSender;
+use crate::frontend::{EventSender, FrontendState};
 use crate::upstream::{AttemptObserver, AttemptOptions};
 use pumiceway_core::{
     AttemptId, AttemptOutcome, AttemptUpdate, ClientResponse, Effect, EndpointAddress,
@@ -42,6 +42,14 @@
 }
 
 impl EventLoop {
+    fn close_frontends(&self, respond_by: Timestamp) {
+        let respond_by = Instant::from_std(self.clock.instant(respond_by));
+        // Sending fails if all frontends have ended.
+        let _ = self
+            .close_frontends
+            .send(FrontendState::Closing { respond_by });
+    }
+
     pub(super) fn execute(&mut self, effect: Effect) {
         match effect {
             Effect::StartAttempt {
@@ -110,7 +118,7 @@
             } => self.watch_discovery(address, list_version),
             Effect::SetTimer { at } => self.timer = Some(at),
             Effect::ReportReady => self.ready.store(true, Ordering::Relaxed),
-            Effect::CloseFrontends => drop(self.close_frontends.send(true)),
+            Effect::CloseFrontends { respond_by } => self.close_frontends(respond_by),
             Effect::Exit => self.exit = true,
             Effect::LogLease {
                 source,
--- a/crates/net/src/event_loop/mod.rs
+++ b/crates/net/src/event_loop/mod.rs
@@ -18,7 +18,7 @@
 use crate::config::{Reload, SocketBudget};
 use crate::discovery::SourceUpdate;
 use crate::frontend::gearman::workers::WorkerSessions;
-use crate::frontend::{EventSender, LoopMessage};
+use crate::frontend::{EventSender, FrontendState, LoopMessage};
 use crate::upstream::AttemptConnection;
 use pumiceway_core::{
     AttemptId, AttemptUpdate, ClientRequest, ClientResponse, Core, Endpoint, EndpointListUpdate,
@@ -79,8 +79,8 @@
     clients: HashMap<RequestHandle, PendingClient>,
     /// Whether the dispatcher reports itself as ready.
     ready: Arc<AtomicBool>,
-    /// Set to true to close the frontends.
-    close_frontends: watch_channel::Sender<bool>,
+    /// Closes the frontends.
+    close_frontends: watch_channel::Sender<FrontendState>,
     /// When the core's timer fires, if it is set.
     timer: Option<Timestamp>,
     exit: bool,
@@ -110,7 +110,7 @@
             attempts: HashMap::new(),
             clients: HashMap::new(),
             ready: Arc::default(),
-            close_frontends: watch_channel::channel(false).0,
+            close_frontends: watch_channel::channel(FrontendState::Open).0,
             timer: None,
             exit: false,
             watch: None,
--- a/crates/net/src/frontend/admission/connection.rs
+++ b/crates/net/src/frontend/admission/connection.rs
@@ -124,8 +124,9 @@
     /// At least one request was submitted.
     has_carried_request: bool,
     eviction: Eviction,
-    /// The frontend is closing: the connection carries at most the request that has begun.
-    is_shutting_down: bool,
+    /// The frontend is closing: the connection carries at most the request that has begun, and that
+    /// request must have its response by this time.
+    respond_by: Option<Instant>,
     /// Bytes outside of requests that were discarded since the last response.
     discarded_bytes: usize,
     message: MessageFraming,
@@ -146,7 +147,7 @@
                 since: now,
                 has_carried_request: false,
                 eviction: Eviction::None,
-                is_shutting_down: false,
+                respond_by: None,
                 discarded_bytes: 0,
                 message: MessageFraming::default(),
             }),
@@ -164,10 +165,30 @@
         self.state().enter(phase);
     }
 
-    /// When the timeout of the current phase expires.
+    /// When the timeout of the current phase expires. At the shutdown an incomplete request is
+    /// given up earlier, because its final response must be sent before the process may be killed.
     pub fn phase_deadline(&self) -> Instant {
         let state = self.state();
-        state.since + state.phase.timeout()
+        let deadline = state.since + state.phase.timeout();
+        match state.respond_by {
+            Some(respond_by) if state.phase.is_receiving_request() => deadline.min(respond_by),
+            _ => deadline,
+        }
+    }
+
+    /// When the current request has to be complete.
+    pub fn request_deadline(&self) -> Instant {
+        self.state().since + REQUEST_TIMEOUT
+    }
+
+    /// Why a connection ends whose phase has timed out.
+    pub fn timeout_reason(&self) -> EndReason {
+        let state = self.state();
+        if state.respond_by.is_some() && state.phase.is_receiving_request() {
+            EndReason::ShuttingDown
+        } else {
+            EndReason::TimedOut
+        }
     }
 
     /// Records that a complete request was received: the connection now waits for the response.
@@ -230,14 +251,15 @@
         self.state().message.received_bytes()
     }
 
-    /// Records that the frontend is closing.
-    pub fn shut_down(&self) {
-        self.state().is_shutting_down = true;
+    /// Records that the frontend is closing. A request that has begun must have its response by
+    /// `respond_by`.
+    pub fn shut_down(&self, respond_by: Instant) {
+        self.state().respond_by = Some(respond_by);
     }
 
     /// Whether the next response is the last one on the connection.
     pub fn closes_after_response(&self) -> bool {
-        self.state().is_shutting_down
+        self.state().respond_by.is_some()
     }
 
     /// Why the connection has to end now, at the shutdown: it is idle, or its first request may be
@@ -250,7 +272,7 @@
             ConnectionPhase::FirstRequest => state.message.is_empty(),
             _ => false,
         };
-        (state.is_shutting_down && is_unused).then_some(EndReason::ShuttingDown)
+        (state.respond_by.is_some() && is_unused).then_some(EndReason::ShuttingDown)
     }
 
     /// Checks that the head of the current request frames the request unambiguously.
--- a/crates/net/src/frontend/gearman/connection.rs
+++ b/crates/net/src/frontend/gearman/connection.rs
@@ -15,7 +15,7 @@
 use super::workers::progress_update;
 use super::{GearmanFrontend, admin};
 use crate::frontend::admission::{self, ClientConnection};
-use crate::frontend::http::{CloseSignal, wait_for_close};
+use crate::frontend::{CloseSignal, wait_for_close};
 use futures_core::Stream;
 use pumiceway_core::{AttemptOutcome, AttemptUpdate};
 use pumiceway_decisions::api::Timestamp;
@@ -149,7 +149,7 @@
                     );
                     return;
                 }
-                () = wait_for_close(&mut closing), if !self.is_shutting_down => {
+                _ = wait_for_close(&mut closing), if !self.is_shutting_down => {
                     self.is_shutting_down = true;
                     self.client_jobs.close();
                     continue;
--- a/crates/net/src/frontend/gearman/mod.rs
+++ b/crates/net/src/frontend/gearman/mod.rs
@@ -14,9 +14,8 @@
 pub use outbox::Outbox;
 
 use crate::config::{Function, GearmanConfig};
-use crate::frontend::EventSender;
 use crate::frontend::admission::{Admission, AdmissionDecision};
-use crate::frontend::http::{CloseSignal, wait_for_close};
+use crate::frontend::{CloseSignal, EventSender, wait_for_close};
 use clients::JobStatuses;
 use connection::AcceptedConnection;
 use pumiceway_decisions::api::{ClassId, Timestamp};
@@ -97,7 +96,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = wait_for_close(&mut closing) => break,
+                _ = wait_for_close(&mut closing) => break,
             };
             let (stream, peer) = match accepted {
                 Ok(accepted) => accepted,
--- a/crates/net/src/frontend/http/connection.rs
+++ b/crates/net/src/frontend/http/connection.rs
@@ -1,11 +1,11 @@
 //! Serves a single connection with hyper until the client, a timeout, an eviction or the shutdown
 //! ends it, and then closes it.
 
-use super::{CloseSignal, wait_for_close};
 use crate::frontend::admission::{
     self, ClientConnection, ConnectionPermit, EndReason, FinalResponse, InspectedStream,
     poll_disconnected,
 };
+use crate::frontend::{CloseSignal, wait_for_close};
 use axum::Router;
 use axum::body::Body;
 use axum::http::{HeaderValue, header};
@@ -77,9 +77,9 @@
         if http.as_mut().poll(cx).is_ready() {
             return Poll::Ready(EndReason::Completed);
         }
-        if !is_closing && closing.as_mut().poll(cx).is_ready() {
+        if !is_closing && let Poll::Ready(respond_by) = closing.as_mut().poll(cx) {
             is_closing = true;
-            connection.shut_down();
+            connection.shut_down(respond_by);
         }
         if let Some(reason) = connection.due_end() {
             return Poll::Ready(reason);
@@ -90,7 +90,7 @@
         if evicted.as_mut().poll(cx).is_ready() {
             return Poll::Ready(EndReason::Evicted);
         }
-        poll_timeout(timeout.as_mut(), connection, cx).map(|()| EndReason::TimedOut)
+        poll_timeout(timeout.as_mut(), connection, cx).map(|()| connection.timeout_reason())
     })
     .await
 }
--- a/crates/net/src/frontend/http/mod.rs
+++ b/crates/net/src/frontend/http/mod.rs
@@ -10,25 +10,16 @@
 mod routes;
 mod server;
 
-use super::EventSender;
+use super::{CloseSignal, EventSender};
 use crate::config::SocketBudget;
 use pumiceway_decisions::settings::DeploymentSettings;
 use server::Server;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
 
 pub use request::{MAX_BODY_BYTES, RequestError};
 
-/// Becomes `true` when the frontends are to close.
-pub type CloseSignal = watch::Receiver<bool>;
-
-/// Waits until the close signal is set.
-pub async fn wait_for_close(closing: &mut CloseSignal) {
-    let _ = closing.wait_for(|is_closing| *is_closing).await;
-}
-
 /// The HTTP frontend.
 #[derive(Clone)]
 pub struct HttpFrontend {
@@ -41,7 +32,7 @@
 }
 
 impl HttpFrontend {
-    /// Accepts connections until `closing` is set, and then serves the open ones until the last has
+    /// Accepts connections until the frontends are to close, and then serves the open ones until the last has
     /// ended.
     pub async fn serve(self, listener: TcpListener, sockets: SocketBudget, closing: CloseSignal) {
         Server::new(self, sockets, closing).run(listener).await;
--- a/crates/net/src/frontend/http/request.rs
+++ b/crates/net/src/frontend/http/request.rs
@@ -312,7 +312,7 @@
     if body_bytes.is_some_and(|bytes| bytes > MAX_BODY_BYTES as u64) {
         return Err(RequestError::BodyTooLarge);
     }
-    let deadline = connection.phase_deadline() - BODY_TIMEOUT_MARGIN;
+    let deadline = connection.request_deadline() - BODY_TIMEOUT_MARGIN;
     let body = timeout_at(deadline, Bytes::from_request(request, &()))
         .await
         .map_err(|_| RequestError::BodyTimeout)?
--- a/crates/net/src/frontend/http/server.rs
+++ b/crates/net/src/frontend/http/server.rs
@@ -4,9 +4,10 @@
 //! the listener would reset them.
 
 use super::connection::serve_connection;
-use super::{CloseSignal, HttpFrontend, routes, wait_for_close};
+use super::{HttpFrontend, routes};
 use crate::config::SocketBudget;
 use crate::frontend::admission::{Admission, AdmissionDecision};
+use crate::frontend::{CloseSignal, wait_for_close};
 use axum::Router;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,7 +51,7 @@
         }
     }
 
-    /// Accepts connections until `closing` is set, and then waits until the last one has ended.
+    /// Accepts connections until the frontends are to close, and then waits until the last one has ended.
     pub(super) async fn run(mut self, listener: TcpListener) {
         self.accept_until_closing(&listener).await;
         for stream in accept_backlog(listener) {
@@ -71,7 +72,7 @@
                         tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                     }
                 },
-                () = wait_for_close(&mut closing) => return,
+                _ = wait_for_close(&mut closing) => return,
             }
         }
     }
--- a/crates/net/src/frontend/mod.rs
+++ b/crates/net/src/frontend/mod.rs
@@ -2,9 +2,12 @@
 //! to the same core.
 
 pub mod admission;
+mod close_signal;
 pub mod gearman;
 pub mod http;
 
+pub use close_signal::{CloseSignal, FrontendState, wait_for_close};
+
 use pumiceway_core::{
     AttemptUpdate, ClientRequest, ClientResponse, Event, Failure, Overview, RequestHandle,
 };
--- a/crates/net/tests/http_connections/response_bytes.rs
+++ b/crates/net/tests/http_connections/response_bytes.rs
@@ -1,19 +1,19 @@
 //! The exact bytes of responses, except for their date, and the exact times of timeout responses.
 
 use crate::sockets::{
-    CHUNKED_REQUEST, connect, read_to_end, request, wait_for_bytes, wait_until_all_is_read,
+    CHUNKED_REQUEST, MILLISECOND, assert_nothing_received, connect, read_to_end, request,
+    wait_for_bytes, wait_until_all_is_read,
 };
 use crate::test_frontend::{SubmittedRequest, TestFrontend};
 use pumiceway_core::{ClientResponse, Failure, Rejection};
 use pumiceway_net::frontend::admission::REQUEST_TIMEOUT;
 use pumiceway_test_support::SETTINGS;
-use std::io::{ErrorKind, Write};
+use std::io::Write;
 use std::net::TcpStream;
 use std::time::Duration;
 
 /// Time after which an incomplete body gets an error response.
 const BODY_TIMEOUT: Duration = Duration::from_millis(1_800);
-const MILLISECOND: Duration = Duration::from_millis(1);
 /// The headers that every request needs.
 const REQUIRED: &str = "X-Txn: t1\r\nX-Remaining-Ms: 5000\r\n";
 
@@ -254,10 +254,7 @@
         wait_until_all_is_read(&stream);
         frontend.advance_clock(timeout.checked_sub(MILLISECOND).unwrap());
         frontend.advance_clock(Duration::ZERO);
-        stream.set_nonblocking(true).unwrap();
-        let nothing = stream.peek(&mut [0]).unwrap_err();
-        assert_eq!(nothing.kind(), ErrorKind::WouldBlock);
-        stream.set_nonblocking(false).unwrap();
+        assert_nothing_received(&stream);
         frontend.advance_clock(MILLISECOND);
         wait_for_bytes(&stream);
         assert_eq!(read_without_date(&stream), expected);
--- a/crates/net/tests/http_connections/shutdown.rs
+++ b/crates/net/tests/http_connections/shutdown.rs
@@ -1,10 +1,11 @@
 //! Connections that are open or in the backlog when the frontend is shut down.
 
 use crate::sockets::{
-    TEST_TIMEOUT, assert_overloaded, connect, read_head, read_to_end, request, send_filler_and_end,
-    wait_for_bytes, wait_until_all_is_read, wait_until_end_is_received, wait_until_end_is_sent,
+    MILLISECOND, TEST_TIMEOUT, assert_nothing_received, assert_overloaded, connect, read_head,
+    read_to_end, request, send_filler_and_end, wait_for_bytes, wait_until_all_is_read,
+    wait_until_end_is_received, wait_until_end_is_sent,
 };
-use crate::test_frontend::TestFrontend;
+use crate::test_frontend::{RESPOND_WITHIN, TestFrontend};
 use pumiceway_core::ClientResponse;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -22,7 +23,7 @@
                 .write_all(request(&format!("t{n}"), "x").as_bytes())
                 .unwrap();
         }
-        close.send(true).unwrap();
+        close.close_at(tokio::time::Instant::now());
     });
     for (n, mut stream) in streams.iter().enumerate() {
         wait_for_bytes(stream);
@@ -52,7 +53,7 @@
         .unwrap();
     waiting.write_all(request("t1", "x").as_bytes()).unwrap();
     let first = frontend.next_request();
-    frontend.close.send(true).unwrap();
+    frontend.close();
     // On the idle connection, the stream ends and a later request is not submitted.
     let mut response = vec![0; "HTTP/1.1 200".len()];
     (&idle).read_exact(&mut response).unwrap();
@@ -125,7 +126,7 @@
             };
             stream.write_all(part.as_bytes()).unwrap();
             wait_until_all_is_read(&stream);
-            frontend.close.send(true).unwrap();
+            frontend.close();
             // Once the idle connection has ended, the shutdown has reached all connections.
             assert_eq!(read_to_end(&idle), "", "{case}");
             stream.write_all(&whole.as_bytes()[part.len()..]).unwrap();
@@ -142,6 +143,37 @@
     }
 }
 
+// A request that is never completed must not wait for the request timeout, which may end after the
+// process is killed.
+#[test]
+fn a_partial_request_gets_an_overload_response_before_the_process_may_be_killed() {
+    let whole = request("t1", "xx");
+    for part in partial_requests(&whole) {
+        for is_kept in [true, false] {
+            let mut frontend = TestFrontend::start(8, 2);
+            // On a new connection the timeout of the request starts with the connection.
+            frontend.advance_clock(Duration::from_millis(100));
+            let mut stream = if is_kept {
+                kept_connection(&frontend)
+            } else {
+                frontend.connect()
+            };
+            stream.write_all(part.as_bytes()).unwrap();
+            wait_until_all_is_read(&stream);
+            frontend.close();
+            frontend.advance_clock(RESPOND_WITHIN.checked_sub(MILLISECOND).unwrap());
+            frontend.advance_clock(Duration::ZERO);
+            assert_nothing_received(&stream);
+            frontend.advance_clock(MILLISECOND);
+            wait_for_bytes(&stream);
+            send_filler_and_end(&stream);
+            assert_overloaded(&read_to_end(&stream));
+            frontend.wait_for_end();
+            frontend.expect_no_message();
+        }
+    }
+}
+
 #[test]
 fn a_client_that_never_closes_delays_the_shutdown_for_a_bounded_time() {
     let mut frontend = TestFrontend::start(8, 2);
@@ -152,7 +184,7 @@
             .unwrap();
         wait_for_bytes(stream);
     }
-    frontend.close.send(true).unwrap();
+    frontend.close();
     streams.iter().for_each(wait_until_end_is_received);
     frontend.advance_clock(Duration::from_millis(1_500));
     frontend.wait_for_end();
@@ -218,7 +250,7 @@
     for pause in [Pause::Never, Pause::BeforeReading, Pause::BeforeTheEnd] {
         let mut frontend = frontend_with_small_buffers();
         let mut stream = client_with_partial_response(&mut frontend, "t1", &result);
-        frontend.close.send(true).unwrap();
+        frontend.close();
         // Once new connections are refused, the shutdown has begun.
         let shutdown_at = Instant::now();
         while TcpStream::connect(frontend.address).is_ok() {
@@ -276,7 +308,7 @@
     let mut reader = connect_with_small_buffer(frontend.address);
     reader.write_all(request("t2", "x").as_bytes()).unwrap();
     let other = frontend.next_request();
-    frontend.close.send(true).unwrap();
+    frontend.close();
     other
         .response
         .send(ClientResponse::Served("2".into()))
--- a/crates/net/tests/http_connections/sockets.rs
+++ b/crates/net/tests/http_connections/sockets.rs
@@ -1,11 +1,13 @@
 //! Client sockets, and helpers that send and receive on them.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// How long a test waits for an expected event.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(8);
+/// The shortest step of the frontend's clock.
+pub const MILLISECOND: Duration = Duration::from_millis(1);
 const OVERLOADED_STATUS: &str = "HTTP/1.1 503 ";
 
 /// A request with a chunked body.
@@ -103,6 +105,15 @@
     assert!(matches!(received, Ok(1)), "{received:?}");
 }
 
+/// Asserts that no byte and no end of the stream is received yet.
+pub fn assert_nothing_received(stream: &TcpStream) {
+    stream.set_nonblocking(true).unwrap();
+    let nothing = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).unwrap();
+    let is_nothing = |error: &std::io::Error| error.kind() == ErrorKind::WouldBlock;
+    assert!(nothing.as_ref().is_err_and(is_nothing), "{nothing:?}");
+}
+
 /// Reads the head of a response, and nothing after it.
 pub fn read_head(mut stream: &TcpStream) -> String {
     let mut head = Vec::new();
--- a/crates/net/tests/http_connections/test_frontend.rs
+++ b/crates/net/tests/http_connections/test_frontend.rs
@@ -3,9 +3,10 @@
 use crate::sockets::{TEST_TIMEOUT, connect, wait_until};
 use pumiceway_core::{ClientRequest, ClientResponse, Event, RequestHandle};
 use pumiceway_net::config::SocketBudget;
-use pumiceway_net::frontend::http::{CloseSignal, HttpFrontend};
-use pumiceway_net::frontend::{EventSender, LoopMessage};
+use pumiceway_net::frontend::http::HttpFrontend;
+use pumiceway_net::frontend::{CloseSignal, EventSender, FrontendState, LoopMessage};
 use pumiceway_test_support::SETTINGS;
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -15,11 +16,27 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
 
+/// How long after it is closed the frontend must have answered all requests that have begun.
+pub const RESPOND_WITHIN: Duration = Duration::from_millis(1_400);
+
+/// Closes the frontend.
+pub struct CloseSender(watch::Sender<FrontendState>);
+
+impl CloseSender {
+    /// Closes the frontend at this time of its clock.
+    pub fn close_at(&self, now: tokio::time::Instant) {
+        let respond_by = now + RESPOND_WITHIN;
+        // Sending fails if the frontend has already ended.
+        let _ = self.0.send(FrontendState::Closing { respond_by });
+    }
+}
+
 /// A frontend whose messages to the event loop are received by the test.
 pub struct TestFrontend {
     pub address: SocketAddr,
-    /// Set to shut the frontend down.
-    pub close: watch::Sender<bool>,
+    close: CloseSender,
+    /// The time of the frontend's clock.
+    now: Cell<tokio::time::Instant>,
     /// `None` once the frontend has ended.
     pub thread: Option<JoinHandle<()>>,
     messages: mpsc::UnboundedReceiver<LoopMessage>,
@@ -48,7 +65,7 @@
     pub fn start_after(
         inbound: usize,
         spare: usize,
-        before: impl FnOnce(SocketAddr, &watch::Sender<bool>),
+        before: impl FnOnce(SocketAddr, &CloseSender),
     ) -> TestFrontend {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         TestFrontend::start_on(listener, inbound, spare, before)
@@ -59,7 +76,7 @@
         listener: std::net::TcpListener,
         inbound: usize,
         spare: usize,
-        before: impl FnOnce(SocketAddr, &watch::Sender<bool>),
+        before: impl FnOnce(SocketAddr, &CloseSender),
     ) -> TestFrontend {
         TestFrontend::start_with(SETTINGS, listener, inbound, spare, before)
     }
@@ -70,11 +87,12 @@
         listener: std::net::TcpListener,
         inbound: usize,
         spare: usize,
-        before: impl FnOnce(SocketAddr, &watch::Sender<bool>),
+        before: impl FnOnce(SocketAddr, &CloseSender),
     ) -> TestFrontend {
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap();
-        let (close, closing) = watch::channel(false);
+        let (close, closing) = watch::channel(FrontendState::Open);
+        let close = CloseSender(close);
         let (events, messages) = EventSender::new();
         before(address, &close);
         let frontend = HttpFrontend {
@@ -88,11 +106,14 @@
             outbound: 1,
         };
         let (clock_advances, advances) = mpsc::unbounded_channel();
-        let thread =
-            std::thread::spawn(move || run(frontend, listener, sockets, closing, advances));
+        let (started, start_time) = channel();
+        let thread = std::thread::spawn(move || {
+            run(frontend, listener, sockets, closing, advances, &started);
+        });
         TestFrontend {
             address,
             close,
+            now: Cell::new(start_time.recv().unwrap()),
             thread: Some(thread),
             messages,
             clock_advances,
@@ -101,6 +122,7 @@
 
     /// Advances the frontend's clock. The frontend may end as a result.
     pub fn advance_clock(&self, by: Duration) {
+        self.now.set(self.now.get() + by);
         let (done, is_done) = channel();
         if self.clock_advances.send(ClockAdvance { by, done }).is_ok() {
             let is_done = is_done.recv_timeout(TEST_TIMEOUT);
@@ -163,10 +185,14 @@
         assert!(message.is_err(), "{message:?}");
     }
 
-    /// Shuts the frontend down, and waits until it has ended.
+    /// Closes the frontend.
+    pub fn close(&self) {
+        self.close.close_at(self.now.get());
+    }
+
+    /// Closes the frontend, and waits until it has ended.
     pub fn shut_down(&mut self) {
-        // Sending fails if the frontend has already ended.
-        let _ = self.close.send(true);
+        self.close();
         self.wait_for_end();
     }
 
@@ -183,10 +209,12 @@
     sockets: SocketBudget,
     closing: CloseSignal,
     mut advances: mpsc::UnboundedReceiver<ClockAdvance>,
+    started: &Sender<tokio::time::Instant>,
 ) {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().start_paused(true).build().unwrap();
     runtime.block_on(async {
+        started.send(tokio::time::Instant::now()).unwrap();
         // While the runtime is idle, tokio advances a paused clock to the next timer unless a
         // blocking task is running.
         let (ended, keep_paused) = channel::<()>();
--- a/crates/test-support/src/fleet/effects.rs
+++ b/crates/test-support/src/fleet/effects.rs
@@ -56,7 +56,7 @@
             }
             Effect::WatchDiscovery { .. } => self.watch_discovery(incarnation),
             Effect::SetTimer { at } => self.set_timer(incarnation, at),
-            Effect::CloseFrontends => self.close_frontends(incarnation),
+            Effect::CloseFrontends { .. } => self.close_frontends(incarnation),
             Effect::Exit => self.exit(incarnation),
             Effect::ReportReady => self.instances[instance].is_ready = true,
             Effect::ForwardUpdate { .. } | Effect::Warn { .. } | Effect::LogLease { .. } => {}
