Answer a request that becomes complete as its connection is evicted

What callers saw: with the limit of connections reached, a request whose last bytes came in the turn in which its connection was evicted ended in a close without an answer, after it had been submitted.

Cause: the eviction was looked at after the HTTP parser had run and ended the connection in any phase; for a request that waits for its response no final response is due.

Change: `due_end` decides on evictions too. A connection that holds a whole request is not ended; the request is shed with 503 before it is submitted, and the connection closes after the response.

Tests: a_request_that_becomes_complete_as_its_connection_is_evicted_gets_ an_overload_response stalls the frontend while a new connection and then the last byte arrive; on the old code the client reads the end of the stream at once.

--- a/crates/net/src/frontend/admission/connection.rs
+++ b/crates/net/src/frontend/admission/connection.rs
@@ -133,6 +133,10 @@
 }
 
 impl ConnectionState {
+    fn is_evicted(&self) -> bool {
+        self.eviction > Eviction::None
+    }
+
     fn enter(&mut self, phase: ConnectionPhase) {
         self.phase = phase;
         self.since = Instant::now();
@@ -257,22 +261,32 @@
         self.state().respond_by = Some(respond_by);
     }
 
+    /// Whether the connection is evicted.
+    pub fn is_evicted(&self) -> bool {
+        self.state().is_evicted()
+    }
+
     /// Whether the next response is the last one on the connection.
     pub fn closes_after_response(&self) -> bool {
-        self.state().respond_by.is_some()
+        let state = self.state();
+        state.respond_by.is_some() || state.is_evicted()
     }
 
-    /// Why the connection has to end now, at the shutdown: it is idle, or its first request may be
-    /// on its way, which gets the final response. A request of which a byte was received is read to
-    /// its end first.
+    /// Why the connection has to end now, because it is evicted or the frontend is closing; `None`
+    /// if it may go on. A request that was received is always answered first. At the shutdown, a
+    /// request of which a byte was received is read to its end, too.
     pub fn due_end(&self) -> Option<EndReason> {
         let state = self.state();
-        let is_unused = match state.phase {
-            ConnectionPhase::Idle => true,
-            ConnectionPhase::FirstRequest => state.message.is_empty(),
-            _ => false,
-        };
-        (state.respond_by.is_some() && is_unused).then_some(EndReason::ShuttingDown)
+        let is_receiving = state.phase.is_receiving_request();
+        let is_idle = state.phase == ConnectionPhase::Idle;
+        let is_unused = is_idle || (is_receiving && state.message.is_empty());
+        if state.is_evicted() && (is_receiving || is_idle) {
+            Some(EndReason::Evicted)
+        } else if state.respond_by.is_some() && is_unused {
+            Some(EndReason::ShuttingDown)
+        } else {
+            None
+        }
     }
 
     /// Checks that the head of the current request frames the request unambiguously.
--- a/crates/net/src/frontend/http/connection.rs
+++ b/crates/net/src/frontend/http/connection.rs
@@ -70,7 +70,7 @@
     let mut timeout = pin!(sleep_until(connection.phase_deadline()));
     let mut evicted = pin!(connection.eviction_requested());
     let mut closing = pin!(wait_for_close(&mut closing));
-    let mut is_closing = false;
+    let (mut is_closing, mut is_evicted) = (false, false);
     poll_fn(|cx| {
         // An error means that the client has disconnected or has sent malformed HTTP, to which
         // hyper has already responded.
@@ -81,15 +81,13 @@
             is_closing = true;
             connection.shut_down(respond_by);
         }
+        is_evicted = is_evicted || evicted.as_mut().poll(cx).is_ready();
         if let Some(reason) = connection.due_end() {
             return Poll::Ready(reason);
         }
         if poll_disconnected(stream, connection, cx).is_ready() {
             return Poll::Ready(EndReason::Completed);
         }
-        if evicted.as_mut().poll(cx).is_ready() {
-            return Poll::Ready(EndReason::Evicted);
-        }
         poll_timeout(timeout.as_mut(), connection, cx).map(|()| connection.timeout_reason())
     })
     .await
--- a/crates/net/src/frontend/http/routes.rs
+++ b/crates/net/src/frontend/http/routes.rs
@@ -58,6 +58,10 @@
 ) -> Result<Response, RequestError> {
     let body_bytes = request.body().size_hint().exact();
     let request = read_request(&frontend.settings, &connection, request).await?;
+    // The connection was evicted while the last bytes of the request were on their way.
+    if connection.is_evicted() {
+        return Ok(too_many_connections().await.into_response());
+    }
     connection.request_received();
     let response = frontend.events.submit(request, None).response().await;
     let mut response = into_http(response);
--- a/crates/net/tests/http_connections/final_responses.rs
+++ b/crates/net/tests/http_connections/final_responses.rs
@@ -1,8 +1,8 @@
 //! Final responses on connections that are closed before a request is complete.
 
 use crate::sockets::{
-    TEST_TIMEOUT, assert_overloaded, connect, read_to_end, request, send_filler_and_end,
-    wait_for_bytes, wait_until_all_is_read,
+    READINESS_REQUEST, TEST_TIMEOUT, assert_overloaded, connect, read_head, read_to_end, request,
+    send_filler_and_end, wait_for_bytes, wait_until_all_is_read,
 };
 use crate::test_frontend::TestFrontend;
 use pumiceway_net::frontend::admission::REQUEST_TIMEOUT;
@@ -31,6 +31,54 @@
     frontend.expect_no_message();
 }
 
+// Guards against issue 49: a connection was closed without a response if its request became complete
+// in the turn in which the connection was evicted.
+#[test]
+fn a_request_that_becomes_complete_as_its_connection_is_evicted_gets_an_overload_response() {
+    let whole = request("t1", "xx");
+    for is_kept in [true, false] {
+        let mut frontend = TestFrontend::start(1, 64);
+        let mut evicted = frontend.connect();
+        if is_kept {
+            evicted.write_all(READINESS_REQUEST).unwrap();
+            read_head(&evicted);
+        }
+        let (first, last) = whole.split_at(whole.len() - 1);
+        evicted.write_all(first.as_bytes()).unwrap();
+        wait_until_all_is_read(&evicted);
+        frontend.advance_clock(Duration::from_millis(60));
+        let mut other = None;
+        frontend.stall(|| {
+            other = Some(frontend.connect());
+            evicted.write_all(last.as_bytes()).unwrap();
+        });
+        wait_for_bytes(&evicted);
+        send_filler_and_end(&evicted);
+        assert_overloaded(&read_to_end(&evicted));
+        drop(other);
+        frontend.shut_down();
+        frontend.expect_no_message();
+    }
+}
+
+// A resting connection owes nothing: its client has all its responses.
+#[test]
+fn an_idle_connection_that_is_evicted_or_times_out_ends_without_a_response() {
+    let mut frontend = TestFrontend::start(1, 64);
+    let mut evicted = frontend.connect();
+    evicted.write_all(READINESS_REQUEST).unwrap();
+    read_head(&evicted);
+    let mut timed_out = frontend.connect();
+    assert_eq!(read_to_end(&evicted), "");
+    timed_out.write_all(READINESS_REQUEST).unwrap();
+    read_head(&timed_out);
+    frontend.advance_clock(Duration::from_secs(120));
+    assert_eq!(read_to_end(&timed_out), "");
+    drop((evicted, timed_out));
+    frontend.shut_down();
+    frontend.expect_no_message();
+}
+
 #[test]
 fn a_partial_request_gets_a_final_response_on_a_timeout_and_on_an_eviction() {
     let mut frontend = TestFrontend::start(1, 64);
--- a/crates/net/tests/http_connections/shutdown.rs
+++ b/crates/net/tests/http_connections/shutdown.rs
@@ -1,9 +1,9 @@
 //! Connections that are open or in the backlog when the frontend is shut down.
 
 use crate::sockets::{
-    MILLISECOND, TEST_TIMEOUT, assert_nothing_received, assert_overloaded, connect, read_head,
-    read_to_end, request, send_filler_and_end, wait_for_bytes, wait_until_all_is_read,
-    wait_until_end_is_received, wait_until_end_is_sent,
+    MILLISECOND, READINESS_REQUEST, TEST_TIMEOUT, assert_nothing_received, assert_overloaded,
+    connect, read_head, read_to_end, request, send_filler_and_end, wait_for_bytes,
+    wait_until_all_is_read, wait_until_end_is_received, wait_until_end_is_sent,
 };
 use crate::test_frontend::{RESPOND_WITHIN, TestFrontend};
 use pumiceway_core::ClientResponse;
@@ -45,7 +45,7 @@
 fn at_the_shutdown_each_connection_gets_the_response_that_is_due() {
     let mut frontend = TestFrontend::start(8, 2);
     let [idle, mut partial, mut waiting, new] = [(); 4].map(|()| frontend.connect());
-    (&idle).write_all(b"GET /-/ready HTTP/1.1\r\n\r\n").unwrap();
+    (&idle).write_all(READINESS_REQUEST).unwrap();
     wait_for_bytes(&idle);
     let text = request("t2", "xx");
     partial
@@ -97,7 +97,7 @@
 /// A connection that has carried a readiness request, and is idle.
 fn kept_connection(frontend: &TestFrontend) -> TcpStream {
     let mut stream = frontend.connect();
-    stream.write_all(b"GET /-/ready HTTP/1.1\r\n\r\n").unwrap();
+    stream.write_all(READINESS_REQUEST).unwrap();
     read_head(&stream);
     stream
 }
@@ -179,9 +179,7 @@
     let mut frontend = TestFrontend::start(8, 2);
     let streams = [(); 3].map(|()| frontend.connect());
     for stream in &streams {
-        (&*stream)
-            .write_all(b"GET /-/ready HTTP/1.1\r\n\r\n")
-            .unwrap();
+        (&*stream).write_all(READINESS_REQUEST).unwrap();
         wait_for_bytes(stream);
     }
     frontend.close();
--- a/crates/net/tests/http_connections/sockets.rs
+++ b/crates/net/tests/http_connections/sockets.rs
@@ -10,6 +10,9 @@
 pub const MILLISECOND: Duration = Duration::from_millis(1);
 const OVERLOADED_STATUS: &str = "HTTP/1.1 503 ";
 
+/// A request for the readiness of the dispatcher.
+pub const READINESS_REQUEST: &[u8] = b"GET /-/ready HTTP/1.1\r\n\r\n";
+
 /// A request with a chunked body.
 pub const CHUNKED_REQUEST: &str = "POST /rate-push/k HTTP/1.1\r\nX-Txn: t1\r\nX-Remaining-Ms: 5000\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n";
 
--- a/crates/net/tests/http_connections/test_frontend.rs
+++ b/crates/net/tests/http_connections/test_frontend.rs
@@ -40,12 +40,20 @@
     /// `None` once the frontend has ended.
     pub thread: Option<JoinHandle<()>>,
     messages: mpsc::UnboundedReceiver<LoopMessage>,
-    clock_advances: mpsc::UnboundedSender<ClockAdvance>,
+    commands: mpsc::UnboundedSender<Command>,
 }
 
-struct ClockAdvance {
-    by: Duration,
-    done: Sender<()>,
+/// A command to the thread of the frontend.
+enum Command {
+    AdvanceClock {
+        by: Duration,
+        done: Sender<()>,
+    },
+    /// Stop until the sender of `end` is dropped.
+    Stall {
+        begun: Sender<()>,
+        end: std::sync::mpsc::Receiver<()>,
+    },
 }
 
 /// A request that was submitted to the core.
@@ -105,10 +113,17 @@
             spare,
             outbound: 1,
         };
-        let (clock_advances, advances) = mpsc::unbounded_channel();
+        let (commands, received_commands) = mpsc::unbounded_channel();
         let (started, start_time) = channel();
         let thread = std::thread::spawn(move || {
-            run(frontend, listener, sockets, closing, advances, &started);
+            run(
+                frontend,
+                listener,
+                sockets,
+                closing,
+                received_commands,
+                &started,
+            );
         });
         TestFrontend {
             address,
@@ -116,7 +131,7 @@
             now: Cell::new(start_time.recv().unwrap()),
             thread: Some(thread),
             messages,
-            clock_advances,
+            commands,
         }
     }
 
@@ -124,7 +139,11 @@
     pub fn advance_clock(&self, by: Duration) {
         self.now.set(self.now.get() + by);
         let (done, is_done) = channel();
-        if self.clock_advances.send(ClockAdvance { by, done }).is_ok() {
+        if self
+            .commands
+            .send(Command::AdvanceClock { by, done })
+            .is_ok()
+        {
             let is_done = is_done.recv_timeout(TEST_TIMEOUT);
             assert_ne!(
                 is_done,
@@ -134,6 +153,17 @@
         }
     }
 
+    /// Stalls the frontend while `during` runs. Afterwards the frontend finds all that has happened
+    /// meanwhile at once, in the order in which it happened.
+    pub fn stall(&self, during: impl FnOnce()) {
+        let (begun, has_begun) = channel();
+        let (stalled, end) = channel();
+        assert!(self.commands.send(Command::Stall { begun, end }).is_ok());
+        has_begun.recv_timeout(TEST_TIMEOUT).unwrap();
+        during();
+        drop(stalled);
+    }
+
     pub fn connect(&self) -> TcpStream {
         connect(self.address)
     }
@@ -208,7 +238,7 @@
     listener: std::net::TcpListener,
     sockets: SocketBudget,
     closing: CloseSignal,
-    mut advances: mpsc::UnboundedReceiver<ClockAdvance>,
+    mut commands: mpsc::UnboundedReceiver<Command>,
     started: &Sender<tokio::time::Instant>,
 ) {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
@@ -221,9 +251,18 @@
         tokio::task::spawn_blocking(move || keep_paused.recv().is_err());
         let listener = TcpListener::from_std(listener).unwrap();
         let clock = async {
-            while let Some(ClockAdvance { by, done }) = advances.recv().await {
-                tokio::time::advance(by).await;
-                let _ = done.send(());
+            while let Some(command) = commands.recv().await {
+                match command {
+                    Command::AdvanceClock { by, done } => {
+                        tokio::time::advance(by).await;
+                        let _ = done.send(());
+                    }
+                    Command::Stall { begun, end } => {
+                        begun.send(()).unwrap();
+                        // Ends with an error when the sender is dropped.
+                        let _ = end.recv();
+                    }
+                }
             }
             std::future::pending::<()>().await;
         };
