Recognise a request whose first part was read with the previous one

What callers saw: where the start of a request came in one read with the request before it, the connection counted as idle after the response. The framing of the rest was checked without its start, so a second Content-Length could pass.

Cause: the phase followed the bytes of each read, but what the parser held beyond a message was known only for a body with a Content-Length that is submitted.

Change: the framing follows chunked bodies to their end and is told the length of other bodies, so that it knows whether the parser holds bytes of the next request. Such a request is being read, has its timeout, gets its final response, and is rejected as pipelined once it is complete.

--- a/crates/net/src/frontend/admission/connection.rs
+++ b/crates/net/src/frontend/admission/connection.rs
@@ -208,16 +208,29 @@
     }
 
     /// Records that all written bytes were passed to the operating system. If that completes a
-    /// response, the connection becomes idle.
+    /// response, the connection becomes idle, unless the parser already holds bytes of the next
+    /// request.
     pub(super) fn flushed(&self) {
         let mut state = self.state();
-        if state.phase == ConnectionPhase::WritingResponse {
-            state.enter(ConnectionPhase::Idle);
-            state.discarded_bytes = 0;
+        if state.phase != ConnectionPhase::WritingResponse {
+            return;
+        }
+        state.discarded_bytes = 0;
+        if state.message.has_next_message() {
+            state.message = MessageFraming::pipelined();
+            state.enter(ConnectionPhase::ReadingRequest);
+        } else {
             state.message = MessageFraming::default();
+            state.enter(ConnectionPhase::Idle);
         }
     }
 
+    /// Records that the parser has read the head of a request. `body_bytes` is the length of its
+    /// body, if known.
+    pub fn head_parsed(&self, body_bytes: Option<u64>) {
+        self.state().message.head_parsed(body_bytes);
+    }
+
     /// Records bytes that are passed to the HTTP parser.
     pub(super) fn received(&self, bytes: &[u8]) {
         let mut state = self.state();
@@ -266,10 +279,11 @@
         self.state().is_evicted()
     }
 
-    /// Whether the next response is the last one on the connection.
+    /// Whether the next response is the last one on the connection. After a pipelined request it is
+    /// unknown how many bytes of another one the parser holds.
     pub fn closes_after_response(&self) -> bool {
         let state = self.state();
-        state.respond_by.is_some() || state.is_evicted()
+        state.respond_by.is_some() || state.is_evicted() || state.message.is_pipelined()
     }
 
     /// Why the connection has to end now, because it is evicted or the frontend is closing; `None`
--- a/crates/net/src/frontend/admission/framing.rs
+++ b/crates/net/src/frontend/admission/framing.rs
@@ -5,6 +5,7 @@
 //! a message. Another parser on the path may take these bytes for a second request (request
 //! smuggling). Therefore the bytes are inspected before they are passed to the parser.
 
+use super::chunked::ChunkedBody;
 use thiserror::Error;
 
 const CONTENT_LENGTH: &[u8] = b"content-length:";
@@ -43,15 +44,39 @@
     content_lengths: usize,
     has_transfer_encoding: bool,
     has_invalid_request_line: bool,
+    /// Length of the body; `None` if it is chunked or the head is incomplete.
+    body_bytes: Option<u64>,
+    /// The position in a chunked body; `None` for other bodies.
+    chunked_body: Option<ChunkedBody>,
+    /// Bytes after a chunked body were received.
+    has_bytes_after_chunks: bool,
+    /// The first bytes of the message were received together with the previous one.
+    is_pipelined: bool,
 }
 
 impl MessageFraming {
+    /// A message whose first bytes were received together with the previous message.
+    pub(super) fn pipelined() -> MessageFraming {
+        MessageFraming {
+            is_pipelined: true,
+            ..MessageFraming::default()
+        }
+    }
+
+    /// Records that the parser has read the head, and the length of the body, unless it is chunked.
+    pub(super) fn head_parsed(&mut self, body_bytes: Option<u64>) {
+        self.body_bytes = body_bytes;
+    }
+
     /// Processes the next bytes of the message.
     pub(super) fn observe(&mut self, bytes: &[u8]) {
         for &byte in bytes {
             self.received_bytes += 1;
-            if self.head_bytes.is_none() {
-                self.observe_head(byte);
+            match (self.head_bytes, self.chunked_body) {
+                (None, _) => self.observe_head(byte),
+                (Some(_), Some(ChunkedBody::Complete)) => self.has_bytes_after_chunks = true,
+                (Some(_), Some(body)) => self.chunked_body = Some(body.after(byte)),
+                (Some(_), None) => {}
             }
         }
     }
@@ -77,6 +102,7 @@
             self.has_transfer_encoding |= self.line_start.starts_with(TRANSFER_ENCODING);
         } else if self.complete_lines > 0 {
             self.head_bytes = Some(self.received_bytes);
+            self.chunked_body = self.has_transfer_encoding.then(ChunkedBody::start);
         }
         self.line_bytes = 0;
         self.line_start.clear();
@@ -89,7 +115,17 @@
 
     /// Whether no byte of the message has been received.
     pub(super) fn is_empty(&self) -> bool {
-        self.received_bytes == 0
+        self.received_bytes == 0 && !self.is_pipelined
+    }
+
+    /// Whether the first bytes of the message were received together with the previous message.
+    pub(super) fn is_pipelined(&self) -> bool {
+        self.is_pipelined
+    }
+
+    /// Whether the parser holds bytes of another message.
+    pub(super) fn has_next_message(&self) -> bool {
+        self.has_bytes_after_chunks || self.has_excess(self.body_bytes)
     }
 
     /// Checks that the head frames the message unambiguously.
@@ -98,7 +134,7 @@
     ///
     /// Returns the first reason for which the message is ambiguous.
     pub(super) fn check_head(&self) -> Result<(), FramingError> {
-        if self.head_bytes.is_none() {
+        if self.is_pipelined || self.head_bytes.is_none() {
             return Err(FramingError::Pipelined);
         }
         if self.has_invalid_request_line {
--- a/crates/net/src/frontend/admission/mod.rs
+++ b/crates/net/src/frontend/admission/mod.rs
@@ -7,6 +7,7 @@
 //! ends, [`close()`] closes it, so that a pending response is delivered and unread bytes do not
 //! cause a reset.
 
+mod chunked;
 mod close;
 mod connection;
 mod discard;
--- a/crates/net/src/frontend/admission/tests.rs
+++ b/crates/net/src/frontend/admission/tests.rs
@@ -54,6 +54,24 @@
     assert!(framing_of(&(whole + "POST")).has_excess(Some(2)));
 }
 
+// The part of a request that is received together with the previous one must be recognised.
+#[test]
+fn bytes_after_a_chunked_body_are_recognised() {
+    let head = "POST /c/k HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for body in [
+        "0\r\n\r\n",
+        "1\r\nx\r\n0\r\n\r\n",
+        "A;name=value\r\n0123\r\n6789\r\n00\r\na: b\r\nc: d\r\n\r\n",
+    ] {
+        let whole = format!("{head}{body}");
+        assert!(!framing_of(&whole).has_next_message(), "{body:?}");
+        let partial = &whole[..whole.len() - 1];
+        assert!(!framing_of(partial).has_next_message(), "{body:?}");
+        let followed = format!("{whole}P");
+        assert!(framing_of(&followed).has_next_message(), "{body:?}");
+    }
+}
+
 // A connection whose request waits for a response, or has only just begun, must not be evicted.
 #[test]
 fn connections_without_a_request_are_evicted_for_new_ones() {
--- a/crates/net/src/frontend/http/connection.rs
+++ b/crates/net/src/frontend/http/connection.rs
@@ -9,7 +9,7 @@
 use axum::Router;
 use axum::body::Body;
 use axum::http::{HeaderValue, header};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -100,6 +100,7 @@
     request: hyper::Request<Incoming>,
 ) -> impl Future<Output = Result<axum::response::Response, std::convert::Infallible>> {
     let mut request = request.map(Body::new);
+    connection.head_parsed(request.body().size_hint().exact());
     request.extensions_mut().insert(connection.clone());
     let response = router.call(request);
     async move {
--- a/crates/net/tests/http_connections/response_bytes.rs
+++ b/crates/net/tests/http_connections/response_bytes.rs
@@ -1,10 +1,10 @@
 //! The exact bytes of responses, except for their date, and the exact times of timeout responses.
 
 use crate::sockets::{
-    CHUNKED_REQUEST, MILLISECOND, assert_nothing_received, connect, read_to_end, request,
-    wait_for_bytes, wait_until_all_is_read,
+    CHUNKED_REQUEST, MILLISECOND, READINESS_REQUEST, assert_nothing_received, connect, read_to_end,
+    request, wait_for_bytes, wait_until_all_is_read,
 };
-use crate::test_frontend::{SubmittedRequest, TestFrontend};
+use crate::test_frontend::{RESPOND_WITHIN, SubmittedRequest, TestFrontend};
 use pumiceway_core::{ClientResponse, Failure, Rejection};
 use pumiceway_net::frontend::admission::REQUEST_TIMEOUT;
 use pumiceway_test_support::SETTINGS;
@@ -236,6 +236,59 @@
     frontend.expect_no_message();
 }
 
+// Guards against issue 49: the part of a request that was read together with the previous request
+// was not noticed, so the connection counted as idle and was closed without a response.
+#[test]
+fn a_part_of_a_pipelined_request_gets_a_final_response_whatever_ends_its_connection() {
+    let first = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    let ready = std::str::from_utf8(READINESS_REQUEST).unwrap();
+    let chunked = CHUNKED_REQUEST.replacen("POST /rate-push/k", "GET /-/ready", 1);
+    let with_trailer = chunked.replace("\r\n0\r\n", "\r\n0\r\na: b\r\n");
+    for previous in [ready, &chunked, &with_trailer] {
+        for end in [
+            PipelinedEnd::Completed,
+            PipelinedEnd::TimedOut,
+            PipelinedEnd::ShutDown,
+        ] {
+            let frontend = TestFrontend::start(4, 1);
+            let mut stream = frontend.connect();
+            let second = request("t2", "x");
+            let (part, rest) = second.split_at(40);
+            stream
+                .write_all(format!("{previous}{part}").as_bytes())
+                .unwrap();
+            wait_for_bytes(&stream);
+            let expected = match end {
+                PipelinedEnd::Completed => {
+                    stream.write_all(rest.as_bytes()).unwrap();
+                    "HTTP/1.1 400 "
+                }
+                PipelinedEnd::TimedOut => {
+                    frontend.advance_clock(REQUEST_TIMEOUT);
+                    "HTTP/1.1 408 "
+                }
+                PipelinedEnd::ShutDown => {
+                    frontend.close();
+                    frontend.advance_clock(RESPOND_WITHIN);
+                    "HTTP/1.1 503 "
+                }
+            };
+            let text = read_without_date(&stream);
+            let case = format!("{previous:?} {end:?}: {text:?}");
+            let response = text.strip_prefix(first).expect(&case);
+            assert!(response.starts_with(expected), "{case}");
+        }
+    }
+}
+
+/// What ends the connection of a pipelined request.
+#[derive(Clone, Copy, Debug)]
+enum PipelinedEnd {
+    Completed,
+    TimedOut,
+    ShutDown,
+}
+
 #[test]
 fn a_partial_request_is_answered_at_its_timeout_and_not_before() {
     let frontend = TestFrontend::start(4, 1);
