Answer a request that the HTTP parser rejects without a response

What callers saw: a client that sent the preface of HTTP/2 got the end of its connection and no answer, on new and on kept connections.

Cause: hyper answers most requests that it cannot read with 400 or 431, but ends the connection on this preface without writing. Every end by hyper counted as `completed`, for which no final response is due.

Change: an end by a parse error is `malformed`, and a request that is still being received then gets 400. A response that hyper itself writes is followed as one, so that it is neither cut off by a timeout, an eviction or the shutdown nor followed by a second response.

Test: a_request_that_the_parser_cannot_read_gets_one_error_response; on the old code the preface got an empty stream.

--- a/crates/net/src/frontend/admission/close.rs
+++ b/crates/net/src/frontend/admission/close.rs
@@ -20,6 +20,8 @@
 pub enum EndReason {
     /// All responses were written, or the client has disconnected.
     Completed,
+    /// The HTTP parser cannot read the request.
+    Malformed,
     /// The timeout of the current phase has expired.
     TimedOut,
     /// The connection was evicted to admit another one.
@@ -33,6 +35,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             EndReason::Completed => "completed",
+            EndReason::Malformed => "malformed",
             EndReason::TimedOut => "timed_out",
             EndReason::Evicted => "evicted",
             EndReason::ShuttingDown => "shutting_down",
@@ -43,6 +46,8 @@
 /// A response that is written without the HTTP parser, as the last one on its connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FinalResponse {
+    /// The request cannot be read.
+    BadRequest,
     /// The request was not received in time.
     RequestTimeout,
     /// There is no capacity for the connection.
@@ -53,6 +58,7 @@
     /// The name of the response in log lines.
     pub fn as_str(self) -> &'static str {
         match self {
+            FinalResponse::BadRequest => "bad_request",
             FinalResponse::RequestTimeout => "request_timeout",
             FinalResponse::Overloaded => "overloaded",
         }
@@ -60,6 +66,7 @@
 
     fn encode(self) -> String {
         match self {
+            FinalResponse::BadRequest => encode("400 Bad Request", "", "the request can't be read"),
             FinalResponse::RequestTimeout => {
                 encode("408 Request Timeout", "", "the request took too long")
             }
--- a/crates/net/src/frontend/admission/connection.rs
+++ b/crates/net/src/frontend/admission/connection.rs
@@ -32,6 +32,8 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Limit of the bytes outside of requests that are discarded; beyond it the connection is closed.
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
+/// The start of an interim response, which the parser writes to ask for a body.
+const INTERIM_STATUS: &[u8] = b"HTTP/1.1 100 ";
 /// Time in its phase after which a connection may be evicted while it is closing or receiving a
 /// request.
 const MIN_AGE_WITHOUT_REQUEST: Duration = Duration::from_millis(50);
@@ -207,6 +209,15 @@
         self.enter(ConnectionPhase::WritingResponse);
     }
 
+    /// Records bytes that the HTTP parser writes. While a request is incomplete, these are its own
+    /// response to a request that it cannot read, or an interim response.
+    pub(super) fn written(&self, bytes: &[u8]) {
+        let mut state = self.state();
+        if state.phase.is_receiving_request() && !bytes.starts_with(INTERIM_STATUS) {
+            state.enter(ConnectionPhase::WritingResponse);
+        }
+    }
+
     /// Records that all written bytes were passed to the operating system. If that completes a
     /// response, the connection becomes idle, unless the parser already holds bytes of the next
     /// request.
@@ -343,6 +354,7 @@
             return None;
         }
         match reason {
+            EndReason::Malformed => Some(FinalResponse::BadRequest),
             EndReason::TimedOut if state.message.is_empty() => None,
             EndReason::TimedOut => Some(FinalResponse::RequestTimeout),
             EndReason::Evicted | EndReason::ShuttingDown => Some(FinalResponse::Overloaded),
--- a/crates/net/src/frontend/admission/stream.rs
+++ b/crates/net/src/frontend/admission/stream.rs
@@ -72,6 +72,7 @@
         cx: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.connection.written(buffer);
         self.poll_write_with(cx, |stream| stream.try_write(buffer))
     }
 
@@ -80,6 +81,8 @@
         cx: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        let first = buffers.iter().find(|buffer| !buffer.is_empty());
+        self.connection.written(first.map_or(&[], |buffer| buffer));
         self.poll_write_with(cx, |stream| stream.try_write_vectored(buffers))
     }
 
--- a/crates/net/src/frontend/http/connection.rs
+++ b/crates/net/src/frontend/http/connection.rs
@@ -72,10 +72,14 @@
     let mut closing = pin!(wait_for_close(&mut closing));
     let (mut is_closing, mut is_evicted) = (false, false);
     poll_fn(|cx| {
-        // An error means that the client has disconnected or has sent malformed HTTP, to which
-        // hyper has already responded.
-        if http.as_mut().poll(cx).is_ready() {
-            return Poll::Ready(EndReason::Completed);
+        match http.as_mut().poll(cx) {
+            // hyper has already responded to most requests that it cannot read, but not to all.
+            Poll::Ready(Err(error)) if error.is_parse() => {
+                return Poll::Ready(EndReason::Malformed);
+            }
+            // Other errors mean that the client has disconnected.
+            Poll::Ready(_) => return Poll::Ready(EndReason::Completed),
+            Poll::Pending => {}
         }
         if !is_closing && let Poll::Ready(respond_by) = closing.as_mut().poll(cx) {
             is_closing = true;
--- a/crates/net/tests/http_connections/response_bytes.rs
+++ b/crates/net/tests/http_connections/response_bytes.rs
@@ -1,8 +1,8 @@
 //! The exact bytes of responses, except for their date, and the exact times of timeout responses.
 
 use crate::sockets::{
-    CHUNKED_REQUEST, MILLISECOND, READINESS_REQUEST, assert_nothing_received, connect, read_to_end,
-    request, wait_for_bytes, wait_until_all_is_read,
+    CHUNKED_REQUEST, MILLISECOND, READINESS_REQUEST, assert_nothing_received, connect, read_head,
+    read_to_end, request, wait_for_bytes, wait_until_all_is_read,
 };
 use crate::test_frontend::{RESPOND_WITHIN, SubmittedRequest, TestFrontend};
 use pumiceway_core::{ClientResponse, Failure, Rejection};
@@ -132,6 +132,34 @@
     frontend.expect_no_message();
 }
 
+// Guards against issue 49: the parser ends a connection on the preface of HTTP/2 without a response.
+#[test]
+fn a_request_that_the_parser_cannot_read_gets_one_error_response() {
+    let long_head = format!("GET /-/ready HTTP/1.1\r\na: {}", "x".repeat(20 << 10));
+    for (request, expected) in [
+        ("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "HTTP/1.1 400 "),
+        ("POST\r\n\r\n", "HTTP/1.1 400 "),
+        ("POST / HTTP/1.1\r\n: \r\n\r\n", "HTTP/1.1 400 "),
+        (&long_head, "HTTP/1.1 431 "),
+    ] {
+        for is_kept in [true, false] {
+            let mut frontend = TestFrontend::start(4, 1);
+            let mut stream = frontend.connect();
+            if is_kept {
+                stream.write_all(READINESS_REQUEST).unwrap();
+                read_head(&stream);
+            }
+            stream.write_all(request.as_bytes()).unwrap();
+            let text = read_to_end(&stream);
+            assert!(text.starts_with(expected), "{request:.40?}: {text:?}");
+            assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text:?}");
+            drop(stream);
+            frontend.shut_down();
+            frontend.expect_no_message();
+        }
+    }
+}
+
 /// Submits a request on a new connection, which is closed after the response.
 fn submit(frontend: &mut TestFrontend, headers: &str) -> (TcpStream, SubmittedRequest) {
     let mut stream = frontend.connect();
