Answer the request that is given up when its client floods

What callers saw: a client that sent over 4 MiB behind a request, while the request waited for its response, had its connection closed without an answer. The request had been read and submitted.

Cause: the limit on discarded bytes was reported as a disconnection, for which no final response is due.

Change: this end has a reason of its own, `excess_bytes`, and the request gets 502, as its job may have run. Disconnections are told apart by the same count.

Test: a_request_that_is_given_up_because_of_a_flood_gets_a_failure, on new and kept connections; on the old code the stream ends empty.

--- a/crates/net/src/frontend/admission/close.rs
+++ b/crates/net/src/frontend/admission/close.rs
@@ -22,6 +22,8 @@
     Completed,
     /// The HTTP parser cannot read the request.
     Malformed,
+    /// Too many bytes were received while a request waited for its response.
+    ExcessBytes,
     /// The timeout of the current phase has expired.
     TimedOut,
     /// The connection was evicted to admit another one.
@@ -36,6 +38,7 @@
         match self {
             EndReason::Completed => "completed",
             EndReason::Malformed => "malformed",
+            EndReason::ExcessBytes => "excess_bytes",
             EndReason::TimedOut => "timed_out",
             EndReason::Evicted => "evicted",
             EndReason::ShuttingDown => "shutting_down",
@@ -48,6 +51,8 @@
 pub enum FinalResponse {
     /// The request cannot be read.
     BadRequest,
+    /// The request was given up after it was submitted, so the job may have run.
+    Failed,
     /// The request was not received in time.
     RequestTimeout,
     /// There is no capacity for the connection.
@@ -59,6 +64,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             FinalResponse::BadRequest => "bad_request",
+            FinalResponse::Failed => "failed",
             FinalResponse::RequestTimeout => "request_timeout",
             FinalResponse::Overloaded => "overloaded",
         }
@@ -67,6 +73,11 @@
     fn encode(self) -> String {
         match self {
             FinalResponse::BadRequest => encode("400 Bad Request", "", "the request can't be read"),
+            FinalResponse::Failed => encode(
+                "502 Bad Gateway",
+                "",
+                "too many bytes came after the request",
+            ),
             FinalResponse::RequestTimeout => {
                 encode("408 Request Timeout", "", "the request took too long")
             }
--- a/crates/net/src/frontend/admission/connection.rs
+++ b/crates/net/src/frontend/admission/connection.rs
@@ -297,6 +297,16 @@
         state.respond_by.is_some() || state.is_evicted() || state.message.is_pipelined()
     }
 
+    /// Why a connection ends whose client cannot be read from any more: it has disconnected, or has
+    /// sent too many bytes outside of requests.
+    pub fn disconnect_reason(&self) -> EndReason {
+        if self.state().discarded_bytes > MAX_DISCARDED_BYTES {
+            EndReason::ExcessBytes
+        } else {
+            EndReason::Completed
+        }
+    }
+
     /// Why the connection has to end now, because it is evicted or the frontend is closing; `None`
     /// if it may go on. A request that was received is always answered first. At the shutdown, a
     /// request of which a byte was received is read to its end, too.
@@ -350,6 +360,9 @@
     /// The final response that is due if the connection ends now for this reason.
     pub fn final_response(&self, reason: EndReason) -> Option<FinalResponse> {
         let state = self.state();
+        if reason == EndReason::ExcessBytes && state.phase == ConnectionPhase::AwaitingResponse {
+            return Some(FinalResponse::Failed);
+        }
         if !state.phase.is_receiving_request() {
             return None;
         }
@@ -358,7 +371,7 @@
             EndReason::TimedOut if state.message.is_empty() => None,
             EndReason::TimedOut => Some(FinalResponse::RequestTimeout),
             EndReason::Evicted | EndReason::ShuttingDown => Some(FinalResponse::Overloaded),
-            EndReason::Completed => None,
+            EndReason::Completed | EndReason::ExcessBytes => None,
         }
     }
 
--- a/crates/net/src/frontend/http/connection.rs
+++ b/crates/net/src/frontend/http/connection.rs
@@ -77,8 +77,8 @@
             Poll::Ready(Err(error)) if error.is_parse() => {
                 return Poll::Ready(EndReason::Malformed);
             }
-            // Other errors mean that the client has disconnected.
-            Poll::Ready(_) => return Poll::Ready(EndReason::Completed),
+            // All responses were written, or the client can no longer be read from.
+            Poll::Ready(_) => return Poll::Ready(connection.disconnect_reason()),
             Poll::Pending => {}
         }
         if !is_closing && let Poll::Ready(respond_by) = closing.as_mut().poll(cx) {
@@ -90,7 +90,7 @@
             return Poll::Ready(reason);
         }
         if poll_disconnected(stream, connection, cx).is_ready() {
-            return Poll::Ready(EndReason::Completed);
+            return Poll::Ready(connection.disconnect_reason());
         }
         poll_timeout(timeout.as_mut(), connection, cx).map(|()| connection.timeout_reason())
     })
--- a/crates/net/tests/http_connections/client_disconnects.rs
+++ b/crates/net/tests/http_connections/client_disconnects.rs
@@ -1,8 +1,8 @@
 //! Clients that disconnect, or send excess bytes, while their request waits for a response.
 
 use crate::sockets::{
-    CHUNKED_REQUEST, read_to_end, request, send_filler, send_filler_and_end, wait_for_bytes,
-    wait_until_all_is_read,
+    CHUNKED_REQUEST, READINESS_REQUEST, assert_nothing_received, read_head, read_to_end, request,
+    send_filler, send_filler_and_end, wait_for_bytes, wait_until_all_is_read,
 };
 use crate::test_frontend::TestFrontend;
 use pumiceway_core::{ClientResponse, Event, RequestHandle};
@@ -11,6 +11,9 @@
 use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
+/// Limit of the bytes outside of requests that the frontend discards.
+const MAX_DISCARDED_BYTES: usize = 4 << 20;
+
 // While the parser holds bytes after a request, it does not detect the end of the connection, and
 // the job would run on although its client is gone.
 #[test]
@@ -104,6 +107,35 @@
     );
 }
 
+// Guards against issue 49: the request before the flood was dropped without a response.
+#[test]
+fn a_request_that_is_given_up_because_of_a_flood_gets_a_failure() {
+    for is_kept in [true, false] {
+        let mut frontend = TestFrontend::start(4, 1);
+        let mut flooder = frontend.connect();
+        if is_kept {
+            flooder.write_all(READINESS_REQUEST).unwrap();
+            read_head(&flooder);
+        }
+        flooder.write_all(request("t1", "x").as_bytes()).unwrap();
+        let submitted = frontend.next_request();
+        // In portions that the frontend has read before the next one, so that the connection is not
+        // reset over unread bytes as soon as the limit is reached.
+        for _ in 0..MAX_DISCARDED_BYTES >> 14 {
+            flooder.write_all(&[b'x'; 1 << 14]).unwrap();
+            wait_until_all_is_read(&flooder);
+        }
+        assert_nothing_received(&flooder);
+        flooder.write_all(b"x").unwrap();
+        let response = read_to_end(&flooder);
+        assert!(response.starts_with("HTTP/1.1 502 "), "{response:?}");
+        frontend.expect_disconnected(&submitted);
+        drop(flooder);
+        frontend.shut_down();
+        frontend.expect_no_message();
+    }
+}
+
 // Excess bytes must not be taken for the next request or cause a reset that discards the response.
 #[test]
 fn bytes_after_a_request_are_discarded_and_its_response_can_be_read() {
