Gearman: answer what was read before a connection is closed

What callers saw: a job of which a part was read ended in a close without an answer at the shutdown, at the timeout of a packet and at an eviction; a job that was read whole and waited for its response did so when its client sent something malformed, did not complete its next packet, or was evicted in the same turn; at the shutdown, so did a packet that was read together with one that was rejected.

Whatever ended a connection left the loop that reads it, over what the decoder held and over the jobs in progress.

Change: a connection ends in two steps. First its input ends: packets that were read are handled, an incomplete one gets an ERROR, and what follows is discarded. It is closed once all jobs have their responses. At the shutdown a packet that has begun is received until the time at which late requests must have their responses. The receiving side is a module of its own.

--- a/crates/net/src/frontend/gearman/clients/mod.rs
+++ b/crates/net/src/frontend/gearman/clients/mod.rs
@@ -18,7 +18,6 @@
 use job::{JobPermit, JobSender};
 use pumiceway_core::ClientResponse;
 use std::time::Duration;
-use submission::SubmitError;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -35,7 +34,8 @@
     tasks: JoinSet<()>,
     /// The client has asked for `WORK_EXCEPTION` packets.
     wants_exceptions: bool,
-    is_closed: bool,
+    /// The response to jobs that are submitted after the connection was closed for them.
+    rejection: Option<Packet>,
 }
 
 impl<'a> ClientJobs<'a> {
@@ -45,7 +45,7 @@
             outbox,
             tasks: JoinSet::new(),
             wants_exceptions: false,
-            is_closed: false,
+            rejection: None,
         }
     }
 
@@ -55,8 +55,8 @@
     }
 
     /// Rejects all jobs that are submitted from now on.
-    pub(super) fn close(&mut self) {
-        self.is_closed = true;
+    pub(super) fn close(&mut self, rejection: Packet) {
+        self.rejection = Some(rejection);
     }
 
     /// Waits until a job has its response; forever if no job is in progress.
@@ -81,12 +81,10 @@
 
     /// Starts a job, or sends an error if it is not accepted.
     pub(super) fn submit(&mut self, submission: Submission) {
-        let function = if self.is_closed {
-            Err(SubmitError::ShuttingDown)
-        } else {
-            submission.check(self.frontend)
-        };
-        match function {
+        if let Some(rejection) = &self.rejection {
+            return self.outbox.send(rejection.clone());
+        }
+        match submission.check(self.frontend) {
             Ok(function) => self.start(submission, function),
             Err(error) => self.outbox.send(error.into()),
         }
--- a/crates/net/src/frontend/gearman/clients/submission.rs
+++ b/crates/net/src/frontend/gearman/clients/submission.rs
@@ -20,7 +20,6 @@
 
 /// Why a job is not accepted.
 pub enum SubmitError {
-    ShuttingDown,
     Background,
     UnknownFunction(String),
     TooLarge,
@@ -29,7 +28,6 @@
 impl From<SubmitError> for Packet {
     fn from(error: SubmitError) -> Packet {
         let (code, text) = match error {
-            SubmitError::ShuttingDown => ("SHUTTING_DOWN", "submit it elsewhere".to_owned()),
             SubmitError::Background => (
                 "BACKGROUND_NOT_TAKEN",
                 "nobody would get the final answer; submit it in the foreground".to_owned(),
--- a/crates/net/src/frontend/gearman/connection.rs
+++ b/crates/net/src/frontend/gearman/connection.rs
@@ -1,32 +1,40 @@
 //! One connection: reads and handles its packets and admin commands.
 //!
-//! A connection is closed when:
+//! A packet of which any byte was read is answered, and a job that was read gets its response,
+//! whatever ends the connection: a client cannot tell a packet that was read from one that crossed
+//! the close. Therefore a connection ends in two steps, unless its peer is gone. First its input
+//! ends: the packets that were read are handled, an incomplete one gets an ERROR packet, and what
+//! follows is discarded. The connection is closed once the jobs of its client have their responses.
+//!
+//! The input ends when:
 //!
-//! - the peer closes it;
 //! - the peer does not complete its first packet, or a later one that it has begun, in time;
 //! - the peer sends malformed input;
-//! - the peer does not read, and its outbox overflows;
 //! - too many connections are open, and it is evicted before its first packet is complete;
-//! - the dispatcher shuts down, once the client has all its responses.
+//! - the dispatcher shuts down and a packet is still incomplete when late requests must have their
+//!   responses.
+//!
+//! The connection is closed at once when:
+//!
+//! - the peer closes it;
+//! - the peer does not read, and its outbox overflows;
+//! - the dispatcher shuts down and nothing that was read is left to answer.
 
 use super::clients::{ClientJobs, Submission};
-use super::codec::{Codec, MAX_WORKLOAD, Malformed, Packet, Received};
+use super::codec::{MAX_WORKLOAD, Malformed, Packet, Received};
+use super::input::Input;
+use super::input_end::InputEnd;
 use super::outbox::{Outbox, write_messages};
 use super::workers::progress_update;
 use super::{GearmanFrontend, admin};
 use crate::frontend::admission::{self, ClientConnection};
 use crate::frontend::{CloseSignal, wait_for_close};
-use futures_core::Stream;
 use pumiceway_core::{AttemptOutcome, AttemptUpdate};
 use pumiceway_decisions::api::Timestamp;
-use std::future::poll_fn;
-use std::pin::Pin;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, interval};
-use tokio_util::codec::FramedRead;
+use tokio::time::{Instant, interval, sleep_until};
 use tracing::{info, warn};
 
 /// Interval of the checks for an incomplete packet.
@@ -68,12 +76,11 @@
         frontend,
         session_id: accepted.session_id,
         opened_at: accepted.opened_at,
-        input: FramedRead::new(read_half, Codec),
+        input: Input::new(read_half, client_connection.phase_deadline()),
         client_jobs: ClientJobs::new(frontend, outbox.clone()),
         outbox,
-        is_shutting_down: false,
+        shutdown: None,
         shutdown_guard: Some(accepted.shutdown_guard),
-        packet_deadline: Some(client_connection.phase_deadline()),
     };
     connection.run(accepted.closing, client_connection).await;
     frontend.workers.connection_closed(accepted.session_id);
@@ -87,7 +94,7 @@
     // This ends the queue. The writer writes what is queued before the connection is closed.
     drop((client_jobs, outbox));
     let _ = writer.await;
-    admission::close(input.get_ref().as_ref(), client_connection, None).await;
+    admission::close(input.stream(), client_connection, None).await;
     drop(shutdown_guard);
 }
 
@@ -103,13 +110,21 @@
     frontend: &'a GearmanFrontend,
     session_id: u64,
     opened_at: Timestamp,
-    input: FramedRead<OwnedReadHalf, Codec>,
+    input: Input,
     client_jobs: ClientJobs<'a>,
     outbox: Outbox,
-    is_shutting_down: bool,
+    /// The shutdown of the dispatcher, once it has begun.
+    shutdown: Option<ShutdownPhase>,
     shutdown_guard: Option<ShutdownGuard>,
-    /// When the first packet, or a later one that the peer has begun to send, must be complete.
-    packet_deadline: Option<Instant>,
+}
+
+/// How far the shutdown of the dispatcher has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ShutdownPhase {
+    /// Packets that have begun are received until this time.
+    Receiving { until: Instant },
+    /// Incomplete packets are given up.
+    Ended,
 }
 
 impl Connection<'_> {
@@ -117,29 +132,31 @@
     async fn run(&mut self, mut closing: CloseSignal, client_connection: &ClientConnection) {
         let mut stall_check = interval(STALL_CHECK_INTERVAL);
         loop {
-            if self.is_shutting_down && self.client_jobs.is_idle() {
-                // A worker stays connected because requests in progress may need it, but the
-                // shutdown does not wait for it.
-                if !self.frontend.workers.contains(self.session_id) {
-                    return;
-                }
-                self.shutdown_guard = None;
+            if self.shutdown == Some(ShutdownPhase::Ended) && self.input.has_partial_packet() {
+                self.end_input(InputEnd::ShuttingDown).await;
+            }
+            if self.is_finished() {
+                return;
             }
-            let received = tokio::select! {
-                received = receive(&mut self.input) => received,
-                () = self.client_jobs.next_completed() => continue,
-                // Another connection needs the permit.
-                () = client_connection.eviction_requested() => return,
+            tokio::select! {
+                received = self.input.next() => {
+                    client_connection.request_received();
+                    match received {
+                        None | Some(Err(Malformed::Io(_))) => return,
+                        Some(Ok(received)) => self.handle_received(received).await,
+                        Some(Err(malformed)) => {
+                            self.end_input(InputEnd::Malformed(malformed)).await;
+                        }
+                    }
+                }
+                () = self.client_jobs.next_completed() => {}
+                () = client_connection.eviction_requested(), if self.input.is_open() => {
+                    self.end_input(InputEnd::TooManyConnections).await;
+                }
                 _ = stall_check.tick() => {
-                    if self.check_packet_deadline() {
-                        info!(
-                            frontend = "gearman",
-                            peer = self.outbox.peer(),
-                            "the peer sent no complete packet in time; closing its connection"
-                        );
-                        return;
+                    if self.input.is_packet_overdue() {
+                        self.end_input(InputEnd::PacketTimeout).await;
                     }
-                    continue;
                 }
                 () = self.outbox.overflowed() => {
                     warn!(
@@ -149,44 +166,71 @@
                     );
                     return;
                 }
-                _ = wait_for_close(&mut closing), if !self.is_shutting_down => {
-                    self.is_shutting_down = true;
-                    self.client_jobs.close();
-                    continue;
+                respond_by = wait_for_close(&mut closing), if self.shutdown.is_none() => {
+                    self.shut_down(respond_by);
+                }
+                () = receiving_ends(self.shutdown) => {
+                    self.shutdown = Some(ShutdownPhase::Ended);
                 }
-            };
-            client_connection.request_received();
-            self.packet_deadline = None;
-            match received {
-                None | Some(Err(Malformed::Io(_))) => return,
-                Some(Ok(received)) => self.handle_received(received).await,
-                Some(Err(malformed)) => return self.report_malformed(malformed),
             }
         }
     }
 
-    /// Returns whether a packet is overdue. If part of a packet has arrived that has no deadline
-    /// yet, its deadline starts now.
-    fn check_packet_deadline(&mut self) -> bool {
-        let now = Instant::now();
-        if self.packet_deadline.is_some_and(|deadline| deadline <= now) {
+    /// Starts the shutdown: jobs are rejected from now on, and packets that have begun are received
+    /// until `until`.
+    fn shut_down(&mut self, until: Instant) {
+        self.shutdown = Some(ShutdownPhase::Receiving { until });
+        self.client_jobs
+            .close(Packet::from(&InputEnd::ShuttingDown));
+        if self.input.is_new() {
+            self.outbox.send(Packet::from(&InputEnd::ShuttingDown));
+        }
+    }
+
+    /// Whether nothing keeps the connection open: the input has ended or the dispatcher shuts down,
+    /// and all that was read is answered.
+    fn is_finished(&mut self) -> bool {
+        if !self.client_jobs.is_idle() {
+            return false;
+        }
+        if !self.input.is_open() {
             return true;
         }
-        if !self.input.read_buffer().is_empty() {
-            self.packet_deadline
-                .get_or_insert(now + admission::REQUEST_TIMEOUT);
+        if self.shutdown.is_none() || self.input.has_partial_packet() {
+            return false;
         }
-        false
+        // A worker stays connected because requests in progress may need it, but the shutdown does
+        // not wait for it.
+        let is_worker = self.frontend.workers.contains(self.session_id);
+        if is_worker {
+            self.shutdown_guard = None;
+        }
+        !is_worker
     }
 
-    fn report_malformed(&self, malformed: Malformed) {
+    /// Handles the packets that were read, tells the peer why no more are handled, and discards
+    /// what follows. A worker leaves the endpoint set.
+    async fn end_input(&mut self, end: InputEnd) {
         info!(
             frontend = "gearman",
             peer = self.outbox.peer(),
-            reason = %malformed,
-            "the peer sent malformed input; closing its connection"
+            reason = %end,
+            "no more packets of the peer are handled; closing its connection"
         );
-        self.send_error("MALFORMED", malformed.to_string());
+        self.client_jobs.close(Packet::from(&end));
+        let is_new = self.input.is_new();
+        let is_malformed = matches!(end, InputEnd::Malformed(_));
+        if !is_malformed {
+            while let Some(Ok(received)) = self.input.next_received() {
+                self.handle_received(received).await;
+            }
+        }
+        let is_told = is_new && end.is_told_to_new_peers();
+        if is_malformed || is_told || self.input.has_partial_packet() {
+            self.outbox.send(Packet::from(&end));
+        }
+        self.input.close();
+        self.frontend.workers.connection_closed(self.session_id);
     }
 
     fn send_error(&self, code: &'static str, text: impl Into<String>) {
@@ -291,9 +335,14 @@
     }
 }
 
-/// Returns the next packet or admin command; `None` once the peer has closed the connection.
-async fn receive(
-    input: &mut FramedRead<OwnedReadHalf, Codec>,
-) -> Option<Result<Received, Malformed>> {
-    poll_fn(|cx| Pin::new(&mut *input).poll_next(cx)).await
+/// Waits until packets that have begun are no longer received; forever before the shutdown, and
+/// after that time.
+async fn receiving_ends(shutdown: Option<ShutdownPhase>) {
+    match shutdown {
+        Some(ShutdownPhase::Receiving { until }) => sleep_until(until).await,
+        Some(ShutdownPhase::Ended) | None => std::future::pending().await,
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/net/src/frontend/gearman/connection/tests.rs
@@ -0,0 +1,156 @@
+//! Connections that end in the turn in which packets arrive. `select!` picks one of several events
+//! that are ready at random, so each test is repeated.
+
+use super::*;
+use crate::config::{Config, Function, GearmanConfig};
+use crate::frontend::admission::Admission;
+use crate::frontend::gearman::workers::{SessionKinds, WorkerSessions};
+use crate::frontend::{EventSender, FrontendState, LoopMessage};
+use pumiceway_core::{ClientResponse, IdempotencyCacheLimits};
+use pumiceway_decisions::api::ClassId;
+use pumiceway_test_support::SETTINGS;
+use std::io::{Read, Write};
+use tokio::sync::watch;
+
+/// With this many repetitions, an event is practically never picked last in all of them.
+const REPETITIONS: usize = 32;
+const PACKET_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which a connection without a request may be evicted.
+const EVICTABLE_AFTER: Duration = Duration::from_millis(60);
+
+fn submit_job(function: &str) -> Vec<u8> {
+    let body = format!("{function}\0\0x");
+    let mut packet = b"\0REQ\0\0\0\x07".to_vec();
+    packet.extend((body.len() as u32).to_be_bytes());
+    packet.extend(body.bytes());
+    packet
+}
+
+fn frontend(events: &EventSender) -> GearmanFrontend {
+    let text = format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#);
+    let mut config = Config::from_text(&text, "config", |_| None).unwrap();
+    let kinds = SessionKinds::add(&mut config.settings).unwrap();
+    let function = Function {
+        class: ClassId(0),
+        slots: 1.0,
+        deadline: Duration::from_secs(5),
+    };
+    let gearman = GearmanConfig {
+        listen: "127.0.0.1:0".parse().unwrap(),
+        connections: 1,
+        jobs: 8,
+        queue: 8,
+        skips_slow_start: true,
+        cache_limits: IdempotencyCacheLimits::default(),
+        functions: [("rate-push".to_owned(), function)].into(),
+    };
+    let workers = WorkerSessions::new(events.clone(), kinds, true);
+    GearmanFrontend::new(events.clone(), config.deployment, gearman, workers)
+}
+
+/// What happens to a connection in the turn in which its packets arrive.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Trouble {
+    Eviction,
+    Shutdown,
+}
+
+/// Serves a connection on which `packets` have arrived when it is first polled. Jobs are served with
+/// the result `1`. Returns what the client receives.
+async fn received_by_client(packets: Vec<u8>, trouble: Trouble) -> Vec<u8> {
+    let (events, mut messages) = EventSender::new();
+    let frontend = frontend(&events);
+    let admission = Admission::new(1, 1);
+    let permit = admission.admit(Instant::now());
+    tokio::time::advance(EVICTABLE_AFTER).await;
+    let (close, closing) = watch::channel(FrontendState::Open);
+    match trouble {
+        Trouble::Eviction => drop(admission.admit(Instant::now())),
+        Trouble::Shutdown => {
+            let respond_by = Instant::now() + PACKET_TIMEOUT;
+            close.send(FrontendState::Closing { respond_by }).unwrap();
+        }
+    }
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    client.write_all(&packets).unwrap();
+    let (stream, peer) = listener.accept().await.unwrap();
+    stream.readable().await.unwrap();
+    let accepted = AcceptedConnection {
+        session_id: 1,
+        opened_at: Timestamp::default(),
+        stream,
+        peer: peer.to_string(),
+        closing,
+        shutdown_guard: mpsc::channel(1).0,
+    };
+    let client = tokio::task::spawn_blocking(move || {
+        let mut received = Vec::new();
+        client.read_to_end(&mut received).unwrap();
+        received
+    });
+    let core = async {
+        while let Some(message) = messages.recv().await {
+            if let LoopMessage::Submitted { response, .. } = message {
+                let served = ClientResponse::Served("1".into());
+                // Fails if the connection has dropped the job.
+                let _ = response.send(served);
+            }
+        }
+    };
+    tokio::select! {
+        () = serve(&frontend, accepted, &permit.connection) => {}
+        () = core => unreachable!("the frontend holds a sender of messages"),
+    }
+    client.await.unwrap()
+}
+
+/// The packets in the bytes: the type of each, or its code if it is an error.
+fn packet_names(mut bytes: &[u8]) -> Vec<String> {
+    let mut names = Vec::new();
+    while let Some((header, rest)) = bytes.split_at_checked(HEADER_LENGTH) {
+        let length = u32::from_be_bytes(header[8..].try_into().unwrap()) as usize;
+        let (body, rest) = rest.split_at(length);
+        let code = body.split(|byte| *byte == 0).next().unwrap_or_default();
+        names.push(match header[7] {
+            ERROR => String::from_utf8(code.to_vec()).unwrap(),
+            packet_type => packet_type.to_string(),
+        });
+        bytes = rest;
+    }
+    names
+}
+
+const HEADER_LENGTH: usize = 12;
+const ERROR: u8 = 19;
+const JOB_CREATED: &str = "8";
+const WORK_COMPLETE: &str = "13";
+// Guards against issue 49: a job that was read in the turn in which its connection was evicted was
+// dropped.
+#[tokio::test(start_paused = true)]
+async fn a_job_that_arrives_as_its_connection_is_evicted_is_answered() {
+    for _ in 0..REPETITIONS {
+        let received = received_by_client(submit_job("rate-push"), Trouble::Eviction).await;
+        let names = packet_names(&received);
+        let is_answered =
+            names == ["TOO_MANY_CONNECTIONS"] || names == [JOB_CREATED, WORK_COMPLETE];
+        assert!(is_answered, "{names:?}");
+    }
+}
+
+// Guards against issue 49: at the shutdown, packets that were read together with an earlier one were
+// dropped.
+#[tokio::test(start_paused = true)]
+async fn pipelined_jobs_that_arrive_at_the_shutdown_are_answered() {
+    let packets = [submit_job("unknown"), submit_job("rate-push")].concat();
+    for _ in 0..REPETITIONS {
+        let received = received_by_client(packets.clone(), Trouble::Shutdown).await;
+        let names = packet_names(&received);
+        // The peer is told before any of its jobs is read, or each job is answered.
+        let is_answered = names == ["SHUTTING_DOWN"]
+            || names == ["SHUTTING_DOWN", "SHUTTING_DOWN"]
+            || names == ["UNKNOWN_FUNCTION", "SHUTTING_DOWN"]
+            || names == ["UNKNOWN_FUNCTION", JOB_CREATED, WORK_COMPLETE];
+        assert!(is_answered, "{names:?}");
+    }
+}
--- a/crates/net/src/frontend/gearman/mod.rs
+++ b/crates/net/src/frontend/gearman/mod.rs
@@ -8,6 +8,8 @@
 mod clients;
 pub mod codec;
 mod connection;
+mod input;
+mod input_end;
 mod outbox;
 pub mod workers;
 
--- a/crates/net/tests/gearman_frontend.rs
+++ b/crates/net/tests/gearman_frontend.rs
@@ -151,8 +151,11 @@
           g3 expect [ECHO_RES x]
           g3 send raw \0REQ\0
           g4 send raw stat
+          g2 expect [ERROR PACKET_TIMEOUT|*]
           g2 expect end
+          g4 expect [ERROR PACKET_TIMEOUT|*]
           g4 expect end
+          g3 expect [ERROR PACKET_TIMEOUT|*]
           g3 expect end
           c send POST /rate-push/k t1 5000 x
           g1 expect [NOOP]",
--- a/crates/net/tests/http_connections/client_disconnects.rs
+++ b/crates/net/tests/http_connections/client_disconnects.rs
@@ -119,12 +119,10 @@
         }
         flooder.write_all(request("t1", "x").as_bytes()).unwrap();
         let submitted = frontend.next_request();
-        // In portions that the frontend has read before the next one, so that the connection is not
-        // reset over unread bytes as soon as the limit is reached.
-        for _ in 0..MAX_DISCARDED_BYTES >> 14 {
-            flooder.write_all(&[b'x'; 1 << 14]).unwrap();
-            wait_until_all_is_read(&flooder);
-        }
+        // The connection is reset over unread bytes once the limit is exceeded, so all but the last
+        // byte are read first.
+        send_filler(&flooder, MAX_DISCARDED_BYTES).unwrap();
+        wait_until_all_is_read(&flooder);
         assert_nothing_received(&flooder);
         flooder.write_all(b"x").unwrap();
         let response = read_to_end(&flooder);
--- a/crates/test-support/src/peer.rs
+++ b/crates/test-support/src/peer.rs
@@ -44,6 +44,22 @@
     }
 
     fn encode(&self, message: &str) -> Vec<u8> {
+        let words: Vec<&str> = message.splitn(3, ' ').collect();
+        match words[..] {
+            ["first", length, message] => self.encode_all(message)[..parse(length)].to_vec(),
+            ["after", length, message] => self.encode_all(message)[parse(length)..].to_vec(),
+            _ => self.encode_all(message),
+        }
+    }
+
+    fn encode_all(&self, messages: &str) -> Vec<u8> {
+        let messages = messages.split(" && ");
+        messages
+            .flat_map(|message| self.encode_one(message))
+            .collect()
+    }
+
+    fn encode_one(&self, message: &str) -> Vec<u8> {
         let words: Vec<&str> = message.splitn(5, ' ').collect();
         match words[..] {
             ["POST", path, id, remaining_ms, body] => {
@@ -214,6 +230,10 @@
     }
 }
 
+fn parse(length: &str) -> usize {
+    length.parse().unwrap()
+}
+
 fn request(path: &str, id: &str, remaining_ms: &str, body: &str) -> String {
     let length = body.len();
     format!(
--- a/crates/test-support/src/scenario.rs
+++ b/crates/test-support/src/scenario.rs
@@ -14,6 +14,8 @@
 //! c expect 200 42                         a response: its status, and texts in it
 //! g expect [JOB_CREATED $h]               a packet; * matches any argument, $h binds it for later
 //! c send raw text\r\n                     these characters, with escapes replaced
+//! c send first 20 POST …                  the first 20 bytes of a message; `after 20` for the rest
+//! g send [ECHO_REQ a] && [ECHO_REQ b]     two messages at once
 //! c close                                 c expect end: the other side has closed
 //! ```
 //!
