Gearman: accept the backlog at the shutdown, tell clients over the limit

What callers saw: a client whose connection waited in the backlog at the shutdown, and one over the limit of connections, had its connection reset with what it had sent.

Cause: the listener was dropped with its backlog, and a connection without a permit was dropped where it was accepted, over unread bytes.

Change: accepting the backlog is a module that both frontends use. A connection over the limit gets ERROR TOO_MANY_CONNECTIONS and lingers, as evicted ones do; at most four linger, which the socket budget counts. The accept loop of Gearman has the shape of the one of HTTP.

Tests: connections_in_the_backlog_at_the_shutdown_get_an_error (on the old code: reset) and a_connection_over_the_limit_gets_an_error (on the old code: closed without a byte).

--- a/crates/net/src/event_loop/dispatcher.rs
+++ b/crates/net/src/event_loop/dispatcher.rs
@@ -4,8 +4,8 @@
 use crate::config::{Config, GearmanConfig, Reload, ZooKeeperConfig};
 use crate::discovery::SourceUpdate;
 use crate::discovery::zookeeper::ZooKeeperSource;
-use crate::frontend::gearman::GearmanFrontend;
 use crate::frontend::gearman::workers::{MAX_CLASSES, SessionKinds, WorkerSessions};
+use crate::frontend::gearman::{GearmanFrontend, SPARE_CONNECTIONS};
 use crate::frontend::http::HttpFrontend;
 use crate::frontend::{EventSender, FrontendState};
 use pumiceway_core::{Core, EndpointSource, Event, IdempotencyCacheLimits};
@@ -183,7 +183,8 @@
     gearman: &GearmanConfig,
     events: &EventSender,
 ) -> io::Result<WorkerSessions> {
-    config.socket_budget.inbound -= gearman.connections.min(config.socket_budget.inbound / 2);
+    let sockets = gearman.connections + SPARE_CONNECTIONS;
+    config.socket_budget.inbound -= sockets.min(config.socket_budget.inbound / 2);
     let kinds = SessionKinds::add(&mut config.settings)
         .ok_or_else(|| io::Error::other(format!("gearman: more than {MAX_CLASSES} classes")))?;
     for class in &mut config.settings.classes {
--- a/crates/net/src/frontend/gearman/connection.rs
+++ b/crates/net/src/frontend/gearman/connection.rs
@@ -29,6 +29,7 @@
 use super::{GearmanFrontend, admin};
 use crate::frontend::admission::{self, ClientConnection};
 use crate::frontend::{CloseSignal, wait_for_close};
+use bytes::BytesMut;
 use pumiceway_core::{AttemptOutcome, AttemptUpdate};
 use pumiceway_decisions::api::Timestamp;
 use std::time::Duration;
@@ -48,7 +49,7 @@
 const KEEPALIVE_RETRIES: u32 = 3;
 
 /// [`GearmanFrontend::serve`] does not return while a clone of this sender exists.
-type ShutdownGuard = mpsc::Sender<()>;
+pub(super) type ShutdownGuard = mpsc::Sender<()>;
 
 /// A connection that was accepted, and what is needed to serve it.
 pub(super) struct AcceptedConnection {
@@ -98,6 +99,15 @@
     drop(shutdown_guard);
 }
 
+/// Closes a connection for which there is no capacity, after an ERROR packet.
+pub(super) async fn reject(stream: &TcpStream, client_connection: &ClientConnection) {
+    let mut error = BytesMut::new();
+    Packet::from(&InputEnd::TooManyConnections).encode(&mut error);
+    // A new socket has space for so few bytes; a failed write means that the peer is gone.
+    let _ = socket2::SockRef::from(stream).send(&error);
+    admission::close(stream, client_connection, None).await;
+}
+
 fn set_keepalive(stream: &TcpStream) {
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_TIME)
--- a/crates/net/src/frontend/gearman/connection/tests.rs
+++ b/crates/net/src/frontend/gearman/connection/tests.rs
@@ -154,3 +154,30 @@
         assert!(is_answered, "{names:?}");
     }
 }
+
+// Guards against issue 49: at the shutdown, closing the listener reset the connections in its
+// backlog.
+#[tokio::test(start_paused = true)]
+async fn connections_in_the_backlog_at_the_shutdown_get_an_error() {
+    let (events, _messages) = EventSender::new();
+    let frontend = frontend(&events);
+    let respond_by = Instant::now() + PACKET_TIMEOUT;
+    let (_close, closing) = watch::channel(FrontendState::Closing { respond_by });
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let clients = [(); 2].map(|()| std::net::TcpStream::connect(address).unwrap());
+    for mut client in &clients {
+        client.write_all(&submit_job("rate-push")).unwrap();
+    }
+    let received = tokio::task::spawn_blocking(move || {
+        clients.map(|mut client| {
+            let mut received = Vec::new();
+            client.read_to_end(&mut received).unwrap();
+            received
+        })
+    });
+    frontend.serve(listener, closing, Timestamp::default).await;
+    // The first has the only permit of this frontend.
+    let names = received.await.unwrap().map(|bytes| packet_names(&bytes));
+    assert_eq!(names, [["SHUTTING_DOWN"], ["TOO_MANY_CONNECTIONS"]]);
+}
--- a/crates/net/src/frontend/gearman/mod.rs
+++ b/crates/net/src/frontend/gearman/mod.rs
@@ -17,23 +17,23 @@
 
 use crate::config::{Function, GearmanConfig};
 use crate::frontend::admission::{Admission, AdmissionDecision};
+use crate::frontend::listener::{ACCEPT_RETRY_DELAY, accept_backlog};
 use crate::frontend::{CloseSignal, EventSender, wait_for_close};
 use clients::JobStatuses;
-use connection::AcceptedConnection;
+use connection::{AcceptedConnection, ShutdownGuard};
 use pumiceway_decisions::api::{ClassId, Timestamp};
 use pumiceway_decisions::settings::DeploymentSettings;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
-use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tracing::{error, warn};
 use workers::WorkerSessions;
 
-/// Delay before the next accept after one has failed, for example for lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Number of connections over the limit, or evicted, that linger until the peer has read why.
+pub const SPARE_CONNECTIONS: usize = 4;
 
 /// The configured functions, by name.
 pub struct Functions(BTreeMap<String, Function>);
@@ -83,57 +83,93 @@
         }
     }
 
-    /// Accepts and serves connections until `closing` is set, then waits until all jobs of clients
-    /// have their responses.
+    /// Accepts and serves connections until the frontends are to close, then waits until all jobs of
+    /// clients have their responses.
     pub async fn serve(
         self,
         listener: TcpListener,
-        mut closing: CloseSignal,
+        closing: CloseSignal,
         now: impl Fn() -> Timestamp,
     ) {
-        let admission = Admission::new(self.max_connections, 0);
         // Nothing is sent: the channel closes once every connection has dropped its guard.
         let (shutdown_guard, mut guards) = mpsc::channel(1);
-        let mut session_id = 0;
+        let mut acceptor = Acceptor {
+            admission: Admission::new(self.max_connections, SPARE_CONNECTIONS),
+            frontend: self,
+            closing,
+            now,
+            shutdown_guard,
+            last_session_id: 0,
+        };
+        acceptor.accept_until_closing(&listener).await;
+        for stream in accept_backlog(listener) {
+            acceptor.spawn_connection(stream);
+        }
+        drop(acceptor);
+        let _ = guards.recv().await;
+    }
+}
+
+/// Accepts connections, and gives each a task of its own.
+struct Acceptor<Now> {
+    frontend: GearmanFrontend,
+    admission: Arc<Admission>,
+    closing: CloseSignal,
+    now: Now,
+    shutdown_guard: ShutdownGuard,
+    last_session_id: u64,
+}
+
+impl<Now: Fn() -> Timestamp> Acceptor<Now> {
+    async fn accept_until_closing(&mut self, listener: &TcpListener) {
+        let mut closing = self.closing.clone();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = wait_for_close(&mut closing) => break,
+                _ = wait_for_close(&mut closing) => return,
             };
-            let (stream, peer) = match accepted {
-                Ok(accepted) => accepted,
+            match accepted {
+                Ok((stream, _)) => self.spawn_connection(stream),
                 Err(error) => {
                     error!(frontend = "gearman", reason = %error, "a connection cannot be accepted");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                    continue;
                 }
-            };
-            let permit = admission.admit(Instant::now());
-            if permit.decision != AdmissionDecision::Served {
-                warn!(
-                    frontend = "gearman",
-                    %peer,
-                    max_connections = self.max_connections,
-                    "too many connections are open; closing this one"
-                );
-                continue;
             }
-            session_id += 1;
-            let accepted = AcceptedConnection {
-                session_id,
-                opened_at: now(),
-                stream,
-                peer: peer.to_string(),
-                closing: closing.clone(),
-                shutdown_guard: shutdown_guard.clone(),
-            };
-            let frontend = self.clone();
+        }
+    }
+
+    fn spawn_connection(&mut self, stream: TcpStream) {
+        let peer = stream
+            .peer_addr()
+            .map_or_else(|_| "unknown".to_owned(), |peer| peer.to_string());
+        let permit = self.admission.admit(Instant::now());
+        let shutdown_guard = self.shutdown_guard.clone();
+        if permit.decision != AdmissionDecision::Served {
+            warn!(
+                frontend = "gearman",
+                peer,
+                max_connections = self.frontend.max_connections,
+                "too many connections are open; closing this one"
+            );
             tokio::spawn(async move {
-                connection::serve(&frontend, accepted, &permit.connection).await;
-                drop(permit);
+                connection::reject(&stream, &permit.connection).await;
+                drop((permit, shutdown_guard));
             });
+            return;
         }
-        drop((listener, shutdown_guard));
-        let _ = guards.recv().await;
+        self.last_session_id += 1;
+        let accepted = AcceptedConnection {
+            session_id: self.last_session_id,
+            opened_at: (self.now)(),
+            stream,
+            peer,
+            closing: self.closing.clone(),
+            shutdown_guard,
+        };
+        let frontend = self.frontend.clone();
+        tokio::spawn(async move {
+            connection::serve(&frontend, accepted, &permit.connection).await;
+            drop(permit);
+        });
     }
 }
--- a/crates/net/src/frontend/http/server.rs
+++ b/crates/net/src/frontend/http/server.rs
@@ -7,20 +7,15 @@
 use super::{HttpFrontend, routes};
 use crate::config::SocketBudget;
 use crate::frontend::admission::{Admission, AdmissionDecision};
+use crate::frontend::listener::{ACCEPT_RETRY_DELAY, accept_backlog};
 use crate::frontend::{CloseSignal, wait_for_close};
 use axum::Router;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tracing::{error, warn};
 
-/// Pause after a failed accept, which would fail again at once if file descriptors are exhausted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Limit of the connections that are accepted from the backlog on shutdown.
-const MAX_ACCEPTED_ON_CLOSE: usize = 1_024;
-
 /// Accepts connections and serves each in a task of its own.
 pub(super) struct Server {
     router: Router,
@@ -112,19 +107,3 @@
         }
     }
 }
-
-/// Accepts the connections in the backlog of the listener, and closes the listener.
-fn accept_backlog(listener: TcpListener) -> Vec<TcpStream> {
-    let Ok(listener) = listener.into_std() else {
-        return Vec::new();
-    };
-    std::iter::from_fn(|| listener.accept().ok())
-        .take(MAX_ACCEPTED_ON_CLOSE)
-        .filter_map(|(stream, _)| into_tokio(stream))
-        .collect()
-}
-
-fn into_tokio(stream: std::net::TcpStream) -> Option<TcpStream> {
-    stream.set_nonblocking(true).ok()?;
-    TcpStream::from_std(stream).ok()
-}
--- a/crates/net/src/frontend/mod.rs
+++ b/crates/net/src/frontend/mod.rs
@@ -5,6 +5,7 @@
 mod close_signal;
 pub mod gearman;
 pub mod http;
+mod listener;
 
 pub use close_signal::{CloseSignal, FrontendState, wait_for_close};
 
--- a/crates/net/tests/gearman_connections.rs
+++ b/crates/net/tests/gearman_connections.rs
@@ -210,3 +210,15 @@
          f expect 400"
     ));
 }
+
+// Guards against issue 49: a connection over the limit was reset, with what its client had sent.
+#[test]
+fn a_connection_over_the_limit_gets_an_error() {
+    let mut runner = ScenarioRunner::new(&[]);
+    open_connections(&mut runner, MAX_CONNECTIONS);
+    runner.continue_with(
+        "gz send [ECHO_REQ x]
+         gz expect [ERROR TOO_MANY_CONNECTIONS|*]
+         gz expect end",
+    );
+}
