Fault soak: clients that pause within requests, and a judge of half-read ones

Clients wrote each request at once or stopped within it, and the judge took a bare close for an answer to an incomplete request.

Change: one in 40 requests is written in two parts, cut at any byte, with a pause of up to 1.5 s; an incomplete one is cut at any byte, too. The judge asks for a response to each request of which a part was sent more than 0.15 s (and the machine's slack) before its end, on kept and on new connections, and for one within 3 s to those that are never completed. A bare close passes only where the first bytes may have crossed it, or where idle connections exhaust the sockets. This is stricter than before.

--- a/crates/pumiceway/tests/faults.rs
+++ b/crates/pumiceway/tests/faults.rs
@@ -191,6 +191,31 @@
     }
 }
 
+// Regression test for issue 49: at each planned restart, requests of which a part had been read were
+// closed without a response. Clients that pause within requests are among those of every run.
+#[test]
+fn the_invariants_hold_when_dispatchers_restart_one_after_another() {
+    let runs = [7, 8].map(|seed| {
+        let schedule = (0..SHORT.dispatchers)
+            .map(|dispatcher| {
+                let restart = Fault::Restart {
+                    dispatcher,
+                    sighup: dispatcher.is_multiple_of(2),
+                    second_sigterm: dispatcher.is_multiple_of(3),
+                };
+                (
+                    Duration::from_millis(1_000 + 1_500 * dispatcher as u64),
+                    restart,
+                )
+            })
+            .collect();
+        std::thread::spawn(move || check(seed, &run_schedule(seed, &SHORT, &schedule)))
+    });
+    for run in runs {
+        run.join().unwrap();
+    }
+}
+
 #[test]
 fn the_invariants_hold_on_further_seeds() {
     let Ok(range) = std::env::var("FAULT_SEEDS") else {
--- a/crates/test-support/src/processes/clients.rs
+++ b/crates/test-support/src/processes/clients.rs
@@ -1,5 +1,5 @@
-//! Clients, which reuse open connections. Some disconnect before the response, and some stop in the
-//! middle of a request.
+//! Clients, which reuse open connections. Some disconnect before the response, some pause in the
+//! middle of a request, and some stop there.
 
 use super::TestFleet;
 use crate::Peer;
@@ -19,6 +19,15 @@
 const DISCONNECT_WITHIN_MS: u64 = 60;
 /// For one in this many requests, the client stops in the middle of the request and stays connected.
 const INCOMPLETE_ONE_IN: u32 = 40;
+/// For one in this many requests, the client pauses in the middle of the request, for a time within
+/// these limits. The whole request arrives before its timeout of 2 s.
+const SLOW_ONE_IN: u32 = 40;
+const MIN_SLOW_PAUSE_MS: u64 = 20;
+const MAX_SLOW_PAUSE_MS: u64 = 1_500;
+/// How often a client that pauses checks whether its connection was closed.
+const PAUSE_POLL: Duration = Duration::from_millis(2);
+/// A request is longer than this.
+const MIN_REQUEST_BYTES: usize = 90;
 /// One in this many requests is sent on a new connection even if one is open.
 const NEW_CONNECTION_ONE_IN: u32 = 5;
 /// The share of requests that are of the non-idempotent class.
@@ -45,6 +54,18 @@
     Reused,
 }
 
+/// How a client writes a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pace {
+    /// All of it at once.
+    AtOnce,
+    /// A part of it, and the rest after a pause, unless the dispatcher has closed the connection or
+    /// has responded by then.
+    Slow,
+    /// A part of it, and then nothing more.
+    Incomplete,
+}
+
 /// The record of a request by its client.
 #[derive(Clone, Debug)]
 pub struct SentRequest {
@@ -56,9 +77,11 @@
     pub is_non_idempotent: bool,
     /// The connection that it was sent on.
     pub connection: Connection,
-    /// Whether its client stopped in the middle of it.
-    pub is_incomplete: bool,
-    /// When it was sent.
+    /// How its client wrote it.
+    pub pace: Pace,
+    /// When its first byte was sent.
+    pub begun_at: Instant,
+    /// When its last byte was sent.
     pub at: Instant,
     /// How long its client waits.
     pub remaining: Duration,
@@ -135,17 +158,18 @@
             "rate-push"
         };
         let remaining = self.fleet.conditions.remaining(is_non_idempotent);
-        let is_incomplete = self.rng.u32(..INCOMPLETE_ONE_IN) == 0;
-        let at = Instant::now();
-        if is_incomplete {
-            peer.send(&format!(
-                "raw POST /{class}/k HTTP/1.1\\r\\nHost: x\\r\\nX-Txn: {id}\\r\\n"
-            ));
-        } else {
-            peer.send(&format!("POST /{class}/k {id} {} x", remaining.as_millis()));
+        let pace = self.draw_pace();
+        let message = format!("POST /{class}/k {id} {} x", remaining.as_millis());
+        let begun_at = Instant::now();
+        match pace {
+            Pace::AtOnce => peer.send(&message),
+            Pace::Slow => self.send_slowly(&mut peer, &message),
+            Pace::Incomplete => peer.send(&format!("first {} {message}", self.draw_part())),
         }
+        let at = Instant::now();
         let is_burst = self.fleet.disconnect_burst.load(Ordering::Relaxed);
-        let disconnects = !is_incomplete && (is_burst || self.rng.u32(..DISCONNECT_ONE_IN) == 0);
+        let may_disconnect = pace == Pace::AtOnce;
+        let disconnects = may_disconnect && (is_burst || self.rng.u32(..DISCONNECT_ONE_IN) == 0);
         let end = if disconnects {
             self.disconnect(peer, is_burst)
         } else {
@@ -156,7 +180,8 @@
             id,
             is_non_idempotent,
             connection,
-            is_incomplete,
+            pace,
+            begun_at,
             at,
             remaining,
             ended_at: Instant::now(),
@@ -164,6 +189,32 @@
         });
     }
 
+    fn draw_pace(&mut self) -> Pace {
+        if self.rng.u32(..INCOMPLETE_ONE_IN) == 0 {
+            Pace::Incomplete
+        } else if self.rng.u32(..SLOW_ONE_IN) == 0 {
+            Pace::Slow
+        } else {
+            Pace::AtOnce
+        }
+    }
+
+    /// The number of bytes before a pause: at least one, and not the whole request.
+    fn draw_part(&mut self) -> usize {
+        self.rng.usize(1..MIN_REQUEST_BYTES)
+    }
+
+    fn send_slowly(&mut self, peer: &mut Peer, message: &str) {
+        let part = self.draw_part();
+        peer.send(&format!("first {part} {message}"));
+        let pause = self.rng.u64(MIN_SLOW_PAUSE_MS..MAX_SLOW_PAUSE_MS);
+        let until = Instant::now() + Duration::from_millis(pause);
+        while Instant::now() < until && !peer.is_closed() {
+            std::thread::sleep(PAUSE_POLL);
+        }
+        peer.send(&format!("after {part} {message}"));
+    }
+
     fn disconnect(&mut self, peer: Peer, at_once: bool) -> RequestEnd {
         if !at_once {
             let wait = self.rng.u64(..DISCONNECT_WITHIN_MS);
--- a/crates/test-support/src/processes/rule_checker.rs
+++ b/crates/test-support/src/processes/rule_checker.rs
@@ -1,6 +1,6 @@
 //! Checks the records of the endpoints and clients of a run against the invariants.
 
-use super::clients::{Connection, RequestEnd, SentRequest};
+use super::clients::{Connection, Pace, RequestEnd, SentRequest};
 use super::discovery::{ChangeToNotify, NotificationLimits};
 use super::endpoints::{Arrival, ListChange, ListedStatus};
 use super::{ProcessRun, TestFleet};
@@ -22,6 +22,8 @@
 /// A client that stops in the middle of a request receives an error response, or its connection is
 /// closed, within this time.
 const INCOMPLETE_REQUEST_LIMIT: Duration = Duration::from_secs(3);
+/// A dispatcher reads the first bytes of a request within this time, even if it is held up.
+const READ_WITHIN: Duration = Duration::from_millis(150);
 /// The remaining time that is sent to an endpoint exceeds the client's by at most this.
 const MAX_REMAINING_EXCESS: Duration = Duration::from_millis(150);
 /// The delay that a busy machine may add to each measurement.
@@ -68,6 +70,14 @@
     }
 }
 
+/// Whether a request may have been on its way when the dispatcher closed its idle connection; it is
+/// then not read. A request whose first part was sent long before the end was read.
+fn may_cross_close(request: &SentRequest) -> bool {
+    let is_paused = request.pace != Pace::AtOnce;
+    let read_for_sure_at = request.begun_at + READ_WITHIN + MEASUREMENT_SLACK;
+    request.connection == Connection::Reused && !(is_paused && request.ended_at > read_for_sure_at)
+}
+
 fn is_served(request: &SentRequest) -> bool {
     matches!(&request.end, RequestEnd::Response(line) if line.contains(" 200 "))
 }
@@ -160,18 +170,17 @@
 
     /// The reason why a request counts as lost, if it does.
     fn unanswered(&self, request: &SentRequest, is_forwarded: bool) -> Option<&'static str> {
-        let run = self.process_run(request.dispatcher, request.at)?;
+        let run = self.process_run(request.dispatcher, request.begun_at)?;
         let seen_until = request.ended_at + MEASUREMENT_SLACK;
         let was_killed = run
             .killed_at
-            .is_some_and(|killed_at| request.at <= killed_at && killed_at <= seen_until);
+            .is_some_and(|killed_at| request.begun_at <= killed_at && killed_at <= seen_until);
         // A killed process may lose what it has in flight, unless it was asked to stop before.
         if was_killed && run.terminated_at.is_none() {
             return None;
         }
-        if request.is_incomplete {
-            let latest = request.at + INCOMPLETE_REQUEST_LIMIT + MEASUREMENT_SLACK;
-            return (request.ended_at > latest).then_some("an incomplete request is left open");
+        if request.pace == Pace::Incomplete {
+            return self.unanswered_incomplete(request);
         }
         let latest = request.at + request.remaining + MAX_RESPONSE_DELAY + MEASUREMENT_SLACK;
         let is_late = request.ended_at > latest;
@@ -180,9 +189,7 @@
             RequestEnd::NoResponse if is_late => Some("no response"),
             // The dispatcher may close an idle connection while a request is on its way; the request
             // is then not read.
-            RequestEnd::NoResponse if request.connection == Connection::Reused && !is_forwarded => {
-                None
-            }
+            RequestEnd::NoResponse if !is_forwarded && may_cross_close(request) => None,
             RequestEnd::NoResponse if !is_forwarded && self.sockets_are_exhausted(request) => None,
             RequestEnd::NoResponse => Some("closed without a response"),
             RequestEnd::Response(_) if is_late => Some("response too late"),
@@ -190,6 +197,17 @@
         }
     }
 
+    /// The reason why a request that its client never completed counts as lost, if it does.
+    fn unanswered_incomplete(&self, request: &SentRequest) -> Option<&'static str> {
+        let latest = request.at + INCOMPLETE_REQUEST_LIMIT + MEASUREMENT_SLACK;
+        if request.ended_at > latest {
+            return Some("an incomplete request is left open");
+        }
+        let is_closed = request.end == RequestEnd::NoResponse;
+        let is_allowed = may_cross_close(request) || self.sockets_are_exhausted(request);
+        (is_closed && !is_allowed).then_some("an incomplete request is closed without a response")
+    }
+
     /// Whether idle connections exhausted the dispatcher's sockets during a request. New connections
     /// may then be closed without being read.
     fn sockets_are_exhausted(&self, request: &SentRequest) -> bool {
