Read what has arrived before an unused connection is closed

Cause: bytes in the socket's buffer are known only once the reactor has reported them, and after a hold-up the timer or the close signal may be handled first; the connection then looks unused.

Change: before a connection ends without a response, the socket itself is read once more. In HTTP what is found goes to the parser; in Gearman it is decoded, so that a new peer's job is answered by itself, too.

--- a/crates/net/src/frontend/admission/connection.rs
+++ b/crates/net/src/frontend/admission/connection.rs
@@ -12,9 +12,12 @@
 
 use super::close::{EndReason, FinalResponse};
 use super::framing::{FramingError, MessageFraming};
+use super::unread::read_unreported;
 use std::io;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -132,6 +135,8 @@
     /// Bytes outside of requests that were discarded since the last response.
     discarded_bytes: usize,
     message: MessageFraming,
+    /// Bytes that were read from the socket and not passed to the HTTP parser yet.
+    read_ahead: Vec<u8>,
 }
 
 impl ConnectionState {
@@ -139,6 +144,12 @@
         self.eviction > Eviction::None
     }
 
+    /// Whether no request has begun on the connection since the last response.
+    fn is_unused(&self) -> bool {
+        let is_receiving = self.phase.is_receiving_request();
+        self.phase == ConnectionPhase::Idle || (is_receiving && self.message.is_empty())
+    }
+
     fn enter(&mut self, phase: ConnectionPhase) {
         self.phase = phase;
         self.since = Instant::now();
@@ -156,6 +167,7 @@
                 respond_by: None,
                 discarded_bytes: 0,
                 message: MessageFraming::default(),
+                read_ahead: Vec::new(),
             }),
             eviction_changed: Notify::new(),
         }
@@ -307,17 +319,34 @@
         }
     }
 
+    /// Reads what the client has sent on an unused connection and the reactor has not reported yet.
+    /// Returns whether there is anything, which the parser then has to read.
+    pub fn has_unreported_bytes(&self, stream: &TcpStream) -> bool {
+        let mut state = self.state();
+        if state.is_unused() {
+            state.read_ahead.extend(read_unreported(stream));
+        }
+        !state.read_ahead.is_empty()
+    }
+
+    /// Moves bytes that were read ahead to the parser's buffer. Returns whether there are any.
+    pub(super) fn take_read_ahead(&self, buffer: &mut ReadBuf<'_>) -> bool {
+        let mut state = self.state();
+        let length = state.read_ahead.len().min(buffer.remaining());
+        buffer.put_slice(&state.read_ahead[..length]);
+        state.read_ahead.drain(..length);
+        length > 0
+    }
+
     /// Why the connection has to end now, because it is evicted or the frontend is closing; `None`
     /// if it may go on. A request that was received is always answered first. At the shutdown, a
     /// request of which a byte was received is read to its end, too.
     pub fn due_end(&self) -> Option<EndReason> {
         let state = self.state();
         let is_receiving = state.phase.is_receiving_request();
-        let is_idle = state.phase == ConnectionPhase::Idle;
-        let is_unused = is_idle || (is_receiving && state.message.is_empty());
-        if state.is_evicted() && (is_receiving || is_idle) {
+        if state.is_evicted() && (is_receiving || state.is_unused()) {
             Some(EndReason::Evicted)
-        } else if state.respond_by.is_some() && is_unused {
+        } else if state.respond_by.is_some() && state.is_unused() {
             Some(EndReason::ShuttingDown)
         } else {
             None
--- a/crates/net/src/frontend/admission/mod.rs
+++ b/crates/net/src/frontend/admission/mod.rs
@@ -14,6 +14,7 @@
 mod framing;
 mod permits;
 mod stream;
+mod unread;
 
 pub use close::{EndReason, FinalResponse, RETRY_AFTER_SECONDS, close};
 pub use connection::{ClientConnection, REQUEST_TIMEOUT};
@@ -21,6 +22,7 @@
 pub use framing::FramingError;
 pub use permits::{Admission, AdmissionDecision, ConnectionPermit};
 pub use stream::InspectedStream;
+pub use unread::read_unreported;
 
 #[cfg(test)]
 mod tests;
--- a/crates/net/src/frontend/admission/stream.rs
+++ b/crates/net/src/frontend/admission/stream.rs
@@ -60,7 +60,9 @@
             return poll_disconnected(&self.stream, &self.connection, cx);
         }
         let filled = buffer.filled().len();
-        ready!(self.poll_read_with(cx, buffer))?;
+        if !self.connection.take_read_ahead(buffer) {
+            ready!(self.poll_read_with(cx, buffer))?;
+        }
         self.connection.received(&buffer.filled()[filled..]);
         Poll::Ready(Ok(()))
     }
--- a/crates/net/src/frontend/gearman/connection.rs
+++ b/crates/net/src/frontend/gearman/connection.rs
@@ -192,7 +192,7 @@
         self.shutdown = Some(ShutdownPhase::Receiving { until });
         self.client_jobs
             .close(Packet::from(&InputEnd::ShuttingDown));
-        if self.input.is_new() {
+        if !self.input.read_unreported() && self.input.is_new() {
             self.outbox.send(Packet::from(&InputEnd::ShuttingDown));
         }
     }
@@ -215,7 +215,7 @@
         if is_worker {
             self.shutdown_guard = None;
         }
-        !is_worker
+        !is_worker && !self.input.read_unreported()
     }
 
     /// Handles the packets that were read, tells the peer why no more are handled, and discards
@@ -228,8 +228,8 @@
             "no more packets of the peer are handled; closing its connection"
         );
         self.client_jobs.close(Packet::from(&end));
-        let is_new = self.input.is_new();
         let is_malformed = matches!(end, InputEnd::Malformed(_));
+        let is_new = !self.input.read_unreported() && self.input.is_new();
         if !is_malformed {
             while let Some(Ok(received)) = self.input.next_received() {
                 self.handle_received(received).await;
--- a/crates/net/src/frontend/gearman/connection/tests.rs
+++ b/crates/net/src/frontend/gearman/connection/tests.rs
@@ -48,6 +48,22 @@
     GearmanFrontend::new(events.clone(), config.deployment, gearman, workers)
 }
 
+/// A client, and its connection on the side of the frontend.
+async fn connect(closing: CloseSignal) -> (std::net::TcpStream, AcceptedConnection) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, peer) = listener.accept().await.unwrap();
+    let accepted = AcceptedConnection {
+        session_id: 1,
+        opened_at: Timestamp::default(),
+        stream,
+        peer: peer.to_string(),
+        closing,
+        shutdown_guard: mpsc::channel(1).0,
+    };
+    (client, accepted)
+}
+
 /// What happens to a connection in the turn in which its packets arrive.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Trouble {
@@ -71,19 +87,9 @@
             close.send(FrontendState::Closing { respond_by }).unwrap();
         }
     }
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (mut client, accepted) = connect(closing).await;
     client.write_all(&packets).unwrap();
-    let (stream, peer) = listener.accept().await.unwrap();
-    stream.readable().await.unwrap();
-    let accepted = AcceptedConnection {
-        session_id: 1,
-        opened_at: Timestamp::default(),
-        stream,
-        peer: peer.to_string(),
-        closing,
-        shutdown_guard: mpsc::channel(1).0,
-    };
+    accepted.stream.readable().await.unwrap();
     let client = tokio::task::spawn_blocking(move || {
         let mut received = Vec::new();
         client.read_to_end(&mut received).unwrap();
@@ -181,3 +187,41 @@
     let names = received.await.unwrap().map(|bytes| packet_names(&bytes));
     assert_eq!(names, [["SHUTTING_DOWN"], ["TOO_MANY_CONNECTIONS"]]);
 }
+
+// Guards against issue 49: a dispatcher that was held up closed kept connections over packets that
+// had arrived meanwhile. The runtime has one thread, so this test holds up the connection while it
+// does not wait.
+#[tokio::test(start_paused = true)]
+async fn what_arrives_while_the_process_is_held_up_before_the_shutdown_is_answered() {
+    let job = submit_job("rate-push");
+    for part in [1, job.len() - 1, job.len()] {
+        let (events, _messages) = EventSender::new();
+        let frontend = frontend(&events);
+        let permit = Admission::new(1, 1).admit(Instant::now());
+        let (close, closing) = watch::channel(FrontendState::Open);
+        let (mut client, accepted) = connect(closing).await;
+        let use_connection = async {
+            client.write_all(b"\0REQ\0\0\0\x10\0\0\0\0").unwrap();
+            let mut reader = client.try_clone().unwrap();
+            let echo = move || reader.read_exact(&mut [0; HEADER_LENGTH]);
+            tokio::task::spawn_blocking(echo).await.unwrap().unwrap();
+            client.write_all(&job[..part]).unwrap();
+            let respond_by = Instant::now() + PACKET_TIMEOUT;
+            close.send(FrontendState::Closing { respond_by }).unwrap();
+            tokio::time::sleep(Duration::from_millis(1)).await;
+            client.write_all(&job[part..]).unwrap();
+            let read_to_end = move || {
+                let mut received = Vec::new();
+                client.read_to_end(&mut received).map(|_| received)
+            };
+            tokio::task::spawn_blocking(read_to_end).await.unwrap()
+        };
+        let serve = serve(&frontend, accepted, &permit.connection);
+        let ((), received) = tokio::join!(serve, use_connection);
+        assert_eq!(
+            packet_names(&received.unwrap()),
+            ["SHUTTING_DOWN"],
+            "{part}"
+        );
+    }
+}
--- a/crates/net/src/frontend/gearman/input.rs
+++ b/crates/net/src/frontend/gearman/input.rs
@@ -2,7 +2,7 @@
 //! may take.
 
 use super::codec::{Codec, Malformed, Received};
-use crate::frontend::admission::REQUEST_TIMEOUT;
+use crate::frontend::admission::{self, REQUEST_TIMEOUT};
 use futures_core::Stream;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -56,6 +56,14 @@
         !self.frames.read_buffer().is_empty()
     }
 
+    /// Reads what the peer has sent and the reactor has not reported yet. Returns whether there is
+    /// anything.
+    pub(super) fn read_unreported(&mut self) -> bool {
+        let unreported = admission::read_unreported(self.stream());
+        self.frames.read_buffer_mut().extend_from_slice(&unreported);
+        !unreported.is_empty()
+    }
+
     /// Stops decoding: what the peer still sends is discarded.
     pub(super) fn close(&mut self) {
         self.is_open = false;
@@ -68,7 +76,10 @@
             self.discard_until_closed().await;
             return None;
         }
-        let received = poll_fn(|cx| Pin::new(&mut self.frames).poll_next(cx)).await;
+        let received = match self.next_received() {
+            Some(received) => Some(received),
+            None => poll_fn(|cx| Pin::new(&mut self.frames).poll_next(cx)).await,
+        };
         self.packet_deadline = None;
         self.has_received = true;
         received
--- a/crates/net/src/frontend/http/connection.rs
+++ b/crates/net/src/frontend/http/connection.rs
@@ -16,7 +16,7 @@
 use std::future::poll_fn;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep_until};
 use tower_service::Service as _;
@@ -86,13 +86,21 @@
             connection.shut_down(respond_by);
         }
         is_evicted = is_evicted || evicted.as_mut().poll(cx).is_ready();
-        if let Some(reason) = connection.due_end() {
-            return Poll::Ready(reason);
-        }
         if poll_disconnected(stream, connection, cx).is_ready() {
             return Poll::Ready(connection.disconnect_reason());
         }
-        poll_timeout(timeout.as_mut(), connection, cx).map(|()| connection.timeout_reason())
+        let reason = if let Some(reason) = connection.due_end() {
+            reason
+        } else {
+            ready!(poll_timeout(timeout.as_mut(), connection, cx));
+            connection.timeout_reason()
+        };
+        // Without a response, the connection must not be closed over a request.
+        if connection.final_response(reason).is_none() && connection.has_unreported_bytes(stream) {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        Poll::Ready(reason)
     })
     .await
 }
--- a/crates/net/tests/http_connections/shutdown.rs
+++ b/crates/net/tests/http_connections/shutdown.rs
@@ -94,6 +94,9 @@
     frontend.expect_no_message();
 }
 
+/// Time that a connection may stay open between two requests.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+
 /// A connection that has carried a readiness request, and is idle.
 fn kept_connection(frontend: &TestFrontend) -> TcpStream {
     let mut stream = frontend.connect();
@@ -143,6 +146,54 @@
     }
 }
 
+// Guards against issue 49: a dispatcher that was held up closed kept connections over requests that
+// had arrived meanwhile.
+#[test]
+fn what_arrives_while_the_process_is_held_up_before_the_shutdown_is_answered() {
+    let whole = request("t1", "xx");
+    for part in partial_requests(&whole).into_iter().chain([whole.as_str()]) {
+        let mut frontend = TestFrontend::start(8, 2);
+        let mut stream = kept_connection(&frontend);
+        frontend.stall(|| {
+            stream.write_all(part.as_bytes()).unwrap();
+            frontend.close();
+        });
+        wait_until_all_is_read(&stream);
+        stream.write_all(&whole.as_bytes()[part.len()..]).unwrap();
+        let submitted = frontend.next_request();
+        submitted
+            .response
+            .send(ClientResponse::Served("1".into()))
+            .unwrap();
+        let response = read_to_end(&stream);
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        drop(stream);
+        frontend.wait_for_end();
+        frontend.expect_no_message();
+    }
+}
+
+#[test]
+fn what_arrives_while_the_process_is_held_up_before_an_idle_timeout_is_answered() {
+    let mut frontend = TestFrontend::start(8, 2);
+    let mut stream = kept_connection(&frontend);
+    let whole = request("t1", "xx");
+    frontend.stall_and_advance_clock(IDLE_TIMEOUT, || {
+        stream.write_all(&whole.as_bytes()[..40]).unwrap();
+    });
+    wait_until_all_is_read(&stream);
+    stream.write_all(&whole.as_bytes()[40..]).unwrap();
+    let submitted = frontend.next_request();
+    submitted
+        .response
+        .send(ClientResponse::Served("1".into()))
+        .unwrap();
+    assert!(read_head(&stream).starts_with("HTTP/1.1 200"));
+    drop(stream);
+    frontend.shut_down();
+    frontend.expect_no_message();
+}
+
 // A request that is never completed must not wait for the request timeout, which may end after the
 // process is killed.
 #[test]
--- a/crates/net/tests/http_connections/test_frontend.rs
+++ b/crates/net/tests/http_connections/test_frontend.rs
@@ -153,6 +153,22 @@
         }
     }
 
+    /// Stalls the frontend while `during` runs, and then advances its clock before it finds anything
+    /// else of what has happened meanwhile.
+    pub fn stall_and_advance_clock(&self, by: Duration, during: impl FnOnce()) {
+        let (done, is_done) = channel();
+        self.now.set(self.now.get() + by);
+        self.stall(|| {
+            assert!(
+                self.commands
+                    .send(Command::AdvanceClock { by, done })
+                    .is_ok()
+            );
+            during();
+        });
+        is_done.recv_timeout(TEST_TIMEOUT).unwrap();
+    }
+
     /// Stalls the frontend while `during` runs. Afterwards the frontend finds all that has happened
     /// meanwhile at once, in the order in which it happened.
     pub fn stall(&self, during: impl FnOnce()) {
