Take a rejection by status as proof only on new or rested connections

What callers saw: where an endpoint responded to a booking twice, the second response, 503 with X-Turned-Away some milliseconds late, was taken for the response to the next booking on the connection.

Cause: a status names no request, and any 503 or 504 with X-Turned-Away was proof that the request written last had not run. The check for unread bytes ends with the first byte of the request; what was sent before the endpoint read the request may come after it.

Change: a connection knows whether, as a request was written, it was new or had received nothing for 250 ms, and only then proves its status something. Otherwise a rejection is `UnprovenRejection`: the endpoint gets the same back-off, and the job may have run. A 4xx, which lets the same id be used again, is an error there. Lines of a response name their request and stay proof.

Tests: late_second_response_proves_nothing_about_the_next_attempt (three statuses, with and without a rest), the outcome in the tables of core and decisions, and the_invariants_hold_when_endpoints_respond_twice at the process.

--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt.rs
@@ -30,6 +30,9 @@
     InvalidJob,
     /// The endpoint rejected the job or returned it unprocessed; it has not run.
     Rejected,
+    /// A response on a reused connection says that the job was rejected. It may be a late response to
+    /// an earlier job, so this one may have run.
+    UnprovenRejection,
     /// The job provably never reached the endpoint.
     ConnectFailed,
     /// The dispatcher did not send the job: it had no free socket, or stalled until after the write
@@ -52,6 +55,7 @@
             AttemptOutcome::Error => "error",
             AttemptOutcome::InvalidJob => "invalid_job",
             AttemptOutcome::Rejected => "rejected",
+            AttemptOutcome::UnprovenRejection => "unproven_rejection",
             AttemptOutcome::ConnectFailed => "connect_failed",
             AttemptOutcome::NotSent => "not_sent",
             AttemptOutcome::Reset => "reset",
--- a/crates/core/src/reducer/attempts.rs
+++ b/crates/core/src/reducer/attempts.rs
@@ -236,6 +236,7 @@
             }
             AttemptOutcome::Error => Outcome::Error,
             AttemptOutcome::Rejected => Outcome::Rejected,
+            AttemptOutcome::UnprovenRejection => Outcome::UnprovenRejection,
             AttemptOutcome::ConnectFailed => Outcome::ConnectFailed,
             AttemptOutcome::NotSent => Outcome::NotSent,
             AttemptOutcome::Reset => Outcome::Reset,
--- a/crates/core/tests/repeats.rs
+++ b/crates/core/tests/repeats.rs
@@ -129,6 +129,7 @@
         (None, true),
         (Some(AttemptOutcome::Error), true),
         (Some(served()), true),
+        (Some(AttemptOutcome::UnprovenRejection), true),
         (Some(AttemptOutcome::ConnectFailed), false),
         (Some(AttemptOutcome::Rejected), false),
         (Some(AttemptOutcome::InvalidJob), false),
--- a/crates/decisions/src/api/report.rs
+++ b/crates/decisions/src/api/report.rs
@@ -26,6 +26,9 @@
     Error,
     /// Rejected for lack of capacity, without being read; it has not run.
     Rejected,
+    /// Rejected by a response that may belong to an earlier request on the connection; it may have
+    /// run.
+    UnprovenRejection,
     /// No response in time; it may have run or may still be running.
     Timeout,
     /// The connection could not be established; it has not run.
--- a/crates/decisions/src/policy/health_checks.rs
+++ b/crates/decisions/src/policy/health_checks.rs
@@ -88,7 +88,9 @@
             }
             // The endpoint is alive; it only rejected a health check beyond its limit. This does
             // not end its suspicion or ejection.
-            Outcome::Rejected => self.state.endpoint_mut(id).last_heard_at = now,
+            Outcome::Rejected | Outcome::UnprovenRejection => {
+                self.state.endpoint_mut(id).last_heard_at = now;
+            }
             Outcome::NotSent => {}
             Outcome::Error
             | Outcome::Timeout
--- a/crates/decisions/src/policy/outcomes.rs
+++ b/crates/decisions/src/policy/outcomes.rs
@@ -20,7 +20,7 @@
     pub(super) fn record_response(&mut self, now: Timestamp, result: &AttemptResult) {
         if !matches!(
             result.outcome,
-            Outcome::Success | Outcome::Error | Outcome::Rejected
+            Outcome::Success | Outcome::Error | Outcome::Rejected | Outcome::UnprovenRejection
         ) {
             return;
         }
@@ -41,7 +41,7 @@
     ) {
         match result.outcome {
             Outcome::Success => self.learn_running_time(now, result, attempt),
-            Outcome::Rejected => {
+            Outcome::Rejected | Outcome::UnprovenRejection => {
                 self.state.endpoint_mut(result.endpoint).backoff_until = now + REJECTION_BACKOFF;
             }
             Outcome::ConnectFailed | Outcome::Reset => self.suspect(now, result.endpoint, actions),
--- a/crates/decisions/tests/retries.rs
+++ b/crates/decisions/tests/retries.rs
@@ -26,6 +26,7 @@
     let outcomes = [
         Error,
         Rejected,
+        UnprovenRejection,
         Timeout,
         ConnectFailed,
         Reset,
--- a/crates/net/src/upstream/attempt.rs
+++ b/crates/net/src/upstream/attempt.rs
@@ -117,6 +117,13 @@
             .is_some_and(|abort_handle| abort_handle.has_received_response())
     }
 
+    /// Whether the status of the response proves what became of this request: a response without a
+    /// request id may otherwise be a late one to an earlier request on the connection.
+    pub(super) fn status_is_proof(&self) -> bool {
+        self.abort_handle()
+            .is_some_and(|abort_handle| abort_handle.was_rested(self.request_number()))
+    }
+
     fn request_number(&self) -> u64 {
         self.state.request_number.load(Ordering::Relaxed)
     }
--- a/crates/net/src/upstream/client.rs
+++ b/crates/net/src/upstream/client.rs
@@ -202,7 +202,7 @@
     /// Ends the attempt according to a status other than 200. Does not wait for the body, which is
     /// not needed and may never end.
     async fn end_by_status(&mut self, response: Response<Incoming>) {
-        let outcome = response::outcome_of_status(&response);
+        let outcome = response::outcome_of_status(&response, self.connection.status_is_proof());
         self.end(outcome, load_report::from_headers(&response));
         response::discard_rest(response.into_body(), &self.connection).await;
     }
--- a/crates/net/src/upstream/connection.rs
+++ b/crates/net/src/upstream/connection.rs
@@ -3,6 +3,10 @@
 //! A request has provably not run if its connection failed before the first byte was written.
 //! Therefore the socket is read directly before that byte: if it has data or has reached its end,
 //! nothing is written and the connection is closed.
+//!
+//! An endpoint may respond to one request twice, and the second response may arrive after the next
+//! request was written. A status names no request, so it proves something about the next one only if
+//! the connection had rested, with nothing to read, before that was written.
 
 use super::connection_abort::ConnectionAbortHandle;
 use hyper_util::client::legacy::connect::{Connected, Connection};
@@ -10,14 +14,22 @@
 use std::io::{self, Read};
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
+
+/// A connection has rested if nothing was received on it for this long: much longer than a second
+/// response comes after the first.
+const REST_TIME: Duration = Duration::from_millis(250);
 
 /// A TCP connection to an endpoint, with its abort handle.
 pub(super) struct UpstreamConnection {
     stream: TcpStream,
     abort_handle: ConnectionAbortHandle,
+    /// When bytes were received last; `None` on a new connection.
+    received_at: Option<Instant>,
     /// Held while the connection is open; limits the number of open sockets.
     _permit: OwnedSemaphorePermit,
 }
@@ -28,6 +40,7 @@
         UpstreamConnection {
             stream,
             abort_handle: ConnectionAbortHandle::default(),
+            received_at: None,
             _permit: permit,
         }
     }
@@ -55,13 +68,23 @@
     /// connection nor sent data, which would be taken for the response to this request.
     fn check_write(&self) -> io::Result<()> {
         self.check_open()?;
-        if self.abort_handle.is_unwritten() && !self.has_no_input() {
+        if !self.abort_handle.is_unwritten() {
+            return Ok(());
+        }
+        if !self.has_no_input() {
             self.abort_handle.close();
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
+        self.abort_handle.set_rested(self.is_rested());
         Ok(())
     }
 
+    /// Whether the connection is new or has rested.
+    fn is_rested(&self) -> bool {
+        self.received_at
+            .is_none_or(|received_at| received_at.elapsed() >= REST_TIME)
+    }
+
     /// Whether the socket is open and has nothing to read. Reads the socket directly, because the
     /// runtime may not have polled its readiness yet. A byte that is read is lost, which does no
     /// harm: the caller closes the connection.
@@ -94,7 +117,11 @@
         self.check_open()?;
         let filled_before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.check_read(buf.filled().len() - filled_before)?;
+        let received_bytes = buf.filled().len() - filled_before;
+        if received_bytes > 0 {
+            self.received_at = Some(Instant::now());
+        }
+        self.check_read(received_bytes)?;
         read
     }
 }
--- a/crates/net/src/upstream/connection_abort.rs
+++ b/crates/net/src/upstream/connection_abort.rs
@@ -32,6 +32,8 @@
     bytes_before_response: AtomicUsize,
     /// No byte of the last request has been written.
     unwritten: AtomicBool,
+    /// When the last request was written, the connection was new or had rested.
+    was_rested: AtomicBool,
     reader_waker: AtomicWaker,
 }
 
@@ -97,6 +99,18 @@
         self.0.unwritten.store(false, Ordering::Relaxed);
     }
 
+    /// Records whether the connection is new or has rested as the last request is written.
+    pub(super) fn set_rested(&self, is_rested: bool) {
+        self.0.was_rested.store(is_rested, Ordering::Relaxed);
+    }
+
+    /// Whether the connection was new or had rested when the request was written, so that no response
+    /// to an earlier request can be taken for its own.
+    pub(super) fn was_rested(&self, request_number: u64) -> bool {
+        self.0.last_request.load(Ordering::Relaxed) == request_number
+            && self.0.was_rested.load(Ordering::Relaxed)
+    }
+
     /// Registers the task that is woken when the connection is aborted.
     pub(super) fn register_reader(&self, waker: &Waker) {
         self.0.reader_waker.register(waker);
--- a/crates/net/src/upstream/response.rs
+++ b/crates/net/src/upstream/response.rs
@@ -200,17 +200,22 @@
     }
 }
 
-/// The outcome of an attempt whose response has a status other than 200.
-pub(super) fn outcome_of_status(response: &Response<Incoming>) -> AttemptOutcome {
+/// The outcome of an attempt whose response has a status other than 200. Unless the status
+/// `is_proof`, the response may belong to an earlier request, and the job may have run.
+pub(super) fn outcome_of_status(response: &Response<Incoming>, is_proof: bool) -> AttemptOutcome {
     let is_rejected = response
         .headers()
         .get(headers::REJECTED)
         .is_some_and(|value| value == "1");
     match response.status() {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if is_rejected => {
-            AttemptOutcome::Rejected
+            if is_proof {
+                AttemptOutcome::Rejected
+            } else {
+                AttemptOutcome::UnprovenRejection
+            }
         }
-        status if status.is_client_error() => AttemptOutcome::InvalidJob,
+        status if status.is_client_error() && is_proof => AttemptOutcome::InvalidJob,
         _ => AttemptOutcome::Error,
     }
 }
--- a/crates/net/src/upstream/tests/reuse.rs
+++ b/crates/net/src/upstream/tests/reuse.rs
@@ -197,6 +197,56 @@
     }
 }
 
+/// Longer than the time after which a connection counts as rested.
+const RESTED: Duration = Duration::from_millis(400);
+
+// Guards against issue 50: a second response to one attempt, which arrived after the next request was
+// written, was taken for proof that the next job had not run, and that job ran again elsewhere.
+#[test]
+fn late_second_response_proves_nothing_about_the_next_attempt() {
+    let rejected = |status: &str| response(&format!("{status}\r\nX-Turned-Away: 1"), "");
+    for (late, unproven, proven) in [
+        (
+            rejected("503 Busy"),
+            AttemptOutcome::UnprovenRejection,
+            AttemptOutcome::Rejected,
+        ),
+        (
+            rejected("504 Late"),
+            AttemptOutcome::UnprovenRejection,
+            AttemptOutcome::Rejected,
+        ),
+        (
+            response("400 Bad", ""),
+            AttemptOutcome::Error,
+            AttemptOutcome::InvalidJob,
+        ),
+    ] {
+        for rest in [Duration::ZERO, RESTED] {
+            let (endpoint, control) = scripted_endpoint();
+            let text = late.clone();
+            let server = std::thread::spawn(move || {
+                let mut stream = endpoint.accept();
+                read_request(&mut stream);
+                stream.write_all(completed("a").as_bytes()).unwrap();
+                read_request(&mut stream);
+                stream.write_all(text.as_bytes()).unwrap();
+            });
+            block_on(async {
+                let client = client(&control.address);
+                let first = RunningAttempt::start(&client, &job("a", 9));
+                assert_eq!(first.end().await, served("a"));
+                tokio::time::sleep(rest).await;
+                settle().await;
+                let second = RunningAttempt::start(&client, &job("b", 9));
+                let outcome = if rest.is_zero() { &unproven } else { &proven };
+                assert_eq!(second.end().await, (outcome.clone(), None), "{late}");
+            });
+            server.join().unwrap();
+        }
+    }
+}
+
 #[test]
 fn partly_written_request_may_have_run() {
     for is_reused in [true, false] {
--- a/crates/pumiceway/tests/faults.rs
+++ b/crates/pumiceway/tests/faults.rs
@@ -6,6 +6,7 @@
 mod common;
 
 use pumiceway_test_support::processes::discovery::WatchLoss;
+use pumiceway_test_support::processes::endpoints::Behavior;
 use pumiceway_test_support::processes::faults::{Fault, Schedule};
 use pumiceway_test_support::processes::rule_checker::{RuleReport, check_rules};
 use pumiceway_test_support::processes::service::Failure;
@@ -216,6 +217,29 @@
     }
 }
 
+// Regression test for issue 50: a second response that came some milliseconds late was taken for the
+// one to the next request on the connection, and a non-idempotent job ran again elsewhere.
+#[test]
+fn the_invariants_hold_when_endpoints_respond_twice() {
+    let runs = [14, 15].map(|seed| {
+        let begins_at = Duration::from_secs(1);
+        let schedule = (0..SHORT.workers)
+            .map(|endpoint| {
+                let fault = Fault::EndpointMisbehaves {
+                    endpoint,
+                    behavior: Behavior::RespondsTwice,
+                    duration: Duration::from_secs(12),
+                };
+                (begins_at, fault)
+            })
+            .collect();
+        std::thread::spawn(move || check(seed, &run_schedule(seed, &SHORT, &schedule)))
+    });
+    for run in runs {
+        run.join().unwrap();
+    }
+}
+
 #[test]
 fn the_invariants_hold_on_further_seeds() {
     let Ok(range) = std::env::var("FAULT_SEEDS") else {
--- a/crates/test-support/src/processes/endpoints.rs
+++ b/crates/test-support/src/processes/endpoints.rs
@@ -1,4 +1,4 @@
-//! Endpoints that serve requests, hang or reset connections, and the endpoint list of discovery.
+//! Endpoints that serve requests, hang, reset connections or respond twice, and the endpoint list of discovery.
 
 use crate::{Peer, endpoint_line, listing, serve_each};
 use std::net::TcpListener;
@@ -9,6 +9,14 @@
 const JOB_DURATION: Duration = Duration::from_millis(10);
 /// How long an endpoint that hangs keeps a connection open.
 const HANG_DURATION: Duration = Duration::from_secs(2);
+/// How long after the first response a second one follows, and the statuses of second responses.
+const SECOND_RESPONSE_DELAY: Duration = Duration::from_millis(5);
+const SECOND_RESPONSES: [&str; 4] = [
+    "503 Busy\\r\\nX-Turned-Away: 1",
+    "504 Late\\r\\nX-Turned-Away: 1",
+    "500 Broken",
+    "400 Bad",
+];
 /// The number of changes that an outdated list lacks.
 const OUTDATED_BY: usize = 3;
 
@@ -42,6 +50,9 @@
     Hangs,
     /// It reads the request and resets the connection.
     Resets,
+    /// It serves the request, and a second response follows the first one. That one says that the
+    /// endpoint has rejected the request, or names another status.
+    RespondsTwice,
 }
 
 /// A change of the list.
@@ -106,6 +117,7 @@
     }
 
     fn serve(&self, endpoint: usize, mut peer: Peer) {
+        let mut second_responses = SECOND_RESPONSES.iter().cycle();
         while let Ok(request) = peer.read_message() {
             let arrival = Arrival::parse(endpoint, &request);
             self.arrivals.lock().unwrap().push(arrival);
@@ -115,6 +127,15 @@
                     std::thread::sleep(JOB_DURATION);
                     peer.send("done yes");
                 }
+                Behavior::RespondsTwice => {
+                    std::thread::sleep(JOB_DURATION);
+                    peer.send("done yes");
+                    std::thread::sleep(SECOND_RESPONSE_DELAY);
+                    let status = second_responses.next().unwrap_or(&SECOND_RESPONSES[0]);
+                    peer.send(&format!(
+                        "raw HTTP/1.1 {status}\\r\\nContent-Length: 0\\r\\n\\r\\n"
+                    ));
+                }
                 Behavior::Hangs => std::thread::sleep(HANG_DURATION),
                 Behavior::Resets => return peer.reset(),
             }
--- a/crates/test-support/src/processes/faults/mod.rs
+++ b/crates/test-support/src/processes/faults/mod.rs
@@ -64,7 +64,7 @@
         gone: bool,
         return_after: Duration,
     },
-    /// An endpoint hangs or resets connections.
+    /// An endpoint hangs, resets connections or responds twice.
     EndpointMisbehaves {
         endpoint: usize,
         behavior: Behavior,
--- a/crates/test-support/src/processes/faults/schedule.rs
+++ b/crates/test-support/src/processes/faults/schedule.rs
@@ -98,11 +98,8 @@
 
 fn draw_endpoint_misbehaves(rng: &mut Rng, endpoints: usize) -> Fault {
     let endpoint = rng.usize(..endpoints);
-    let behavior = if rng.bool() {
-        Behavior::Resets
-    } else {
-        Behavior::Hangs
-    };
+    let behaviors = [Behavior::Resets, Behavior::Hangs, Behavior::RespondsTwice];
+    let behavior = *rng.choice(&behaviors).unwrap();
     Fault::EndpointMisbehaves {
         endpoint,
         behavior,
