--- a/crates/net/src/frontend/admission/close.rs
+++ b/crates/net/src/frontend/admission/close.rs
@@ -5,8 +5,10 @@
 //! client still sends is read and discarded until the client closes its side, or until the linger
 //! timeout.
 
-use super::connection::{ClientConnection, ConnectionPhase, Eviction};
+use super::connection::ClientConnection;
 use super::discard::discard_until_closed;
+use super::eviction::Eviction;
+use super::phase::ConnectionPhase;
 use socket2::SockRef;
 use std::net::Shutdown;
 use tokio::net::TcpStream;
--- a/crates/net/src/frontend/admission/connection.rs
+++ b/crates/net/src/frontend/admission/connection.rs
@@ -11,110 +11,21 @@
 //! own timeout, which starts when the connection enters the phase.
 
 use super::close::{EndReason, FinalResponse};
+use super::eviction::{Eviction, EvictionPriority};
 use super::framing::{FramingError, MessageFraming};
+use super::phase::{ConnectionPhase, REQUEST_TIMEOUT};
 use super::unread::read_unreported;
 use std::io;
 use std::sync::{Mutex, MutexGuard};
-use std::time::Duration;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Time to receive a complete request, measured from the start of the connection for the first
-/// request, and from the first byte for later ones.
-pub const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time to write a complete response to the client.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time that a connection may stay open between two requests.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Time to wait for the response of the core. It exceeds the deadline of any request, which the
-/// core enforces.
-const AWAITING_RESPONSE_TIMEOUT: Duration = Duration::from_secs(48 * 60 * 60);
-/// Time for the client to read the last response and to close its side.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Limit of the bytes outside of requests that are discarded; beyond it the connection is closed.
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
 /// The start of an interim response, which the parser writes to ask for a body.
 const INTERIM_STATUS: &[u8] = b"HTTP/1.1 100 ";
-/// Time in its phase after which a connection may be evicted while it is closing or receiving a
-/// request.
-const MIN_AGE_WITHOUT_REQUEST: Duration = Duration::from_millis(50);
-/// Idle time after which a connection that has carried a request may be evicted.
-const MIN_IDLE_AFTER_REQUEST: Duration = Duration::from_secs(1);
-
-/// The phase of a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum ConnectionPhase {
-    /// The first request is incomplete.
-    FirstRequest,
-    /// Between two requests.
-    Idle,
-    /// A later request is incomplete.
-    ReadingRequest,
-    /// A request was submitted and its response is pending.
-    AwaitingResponse,
-    /// A response is being written.
-    WritingResponse,
-    /// The last response was written, and the client is to close its side.
-    Closing,
-}
-
-impl ConnectionPhase {
-    fn timeout(self) -> Duration {
-        match self {
-            ConnectionPhase::FirstRequest | ConnectionPhase::ReadingRequest => REQUEST_TIMEOUT,
-            ConnectionPhase::Idle => IDLE_TIMEOUT,
-            ConnectionPhase::AwaitingResponse => AWAITING_RESPONSE_TIMEOUT,
-            ConnectionPhase::WritingResponse => RESPONSE_TIMEOUT,
-            ConnectionPhase::Closing => LINGER_TIMEOUT,
-        }
-    }
-
-    fn is_receiving_request(self) -> bool {
-        matches!(
-            self,
-            ConnectionPhase::FirstRequest | ConnectionPhase::ReadingRequest
-        )
-    }
-
-    /// The name of the phase in log lines.
-    fn as_str(self) -> &'static str {
-        match self {
-            ConnectionPhase::FirstRequest => "first_request",
-            ConnectionPhase::Idle => "idle",
-            ConnectionPhase::ReadingRequest => "reading_request",
-            ConnectionPhase::AwaitingResponse => "awaiting_response",
-            ConnectionPhase::WritingResponse => "writing_response",
-            ConnectionPhase::Closing => "closing",
-        }
-    }
-}
-
-/// Whether a connection is evicted to admit another one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Eviction {
-    /// The connection is not evicted.
-    None,
-    /// The connection gets a final response and lingers until the client has read it.
-    Graceful,
-    /// The connection is closed without lingering.
-    Immediate,
-}
-
-/// Order of eviction: the connection with the smallest value is evicted first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct EvictionPriority {
-    rank: EvictionRank,
-    since: Instant,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum EvictionRank {
-    ClosingOrNeverUsed,
-    ReceivingRequest,
-    Idle,
-}
 
 /// A client connection that has a permit.
 pub struct ClientConnection {
@@ -407,20 +318,6 @@
     /// The priority of the connection for eviction; `None` if it must not be evicted.
     pub(super) fn eviction_priority(&self, now: Instant) -> Option<EvictionPriority> {
         let state = self.state();
-        let (rank, min_age) = match state.phase {
-            ConnectionPhase::Closing => (EvictionRank::ClosingOrNeverUsed, MIN_AGE_WITHOUT_REQUEST),
-            // The client has sent only readiness requests.
-            ConnectionPhase::Idle if !state.has_carried_request => {
-                (EvictionRank::ClosingOrNeverUsed, Duration::ZERO)
-            }
-            ConnectionPhase::FirstRequest | ConnectionPhase::ReadingRequest => {
-                (EvictionRank::ReceivingRequest, MIN_AGE_WITHOUT_REQUEST)
-            }
-            ConnectionPhase::Idle => (EvictionRank::Idle, MIN_IDLE_AFTER_REQUEST),
-            ConnectionPhase::AwaitingResponse | ConnectionPhase::WritingResponse => return None,
-        };
-        let since = state.since;
-        let age = now.saturating_duration_since(since);
-        (age >= min_age).then_some(EvictionPriority { rank, since })
+        EvictionPriority::of(state.phase, state.has_carried_request, state.since, now)
     }
 }
--- a/crates/net/src/frontend/admission/mod.rs
+++ b/crates/net/src/frontend/admission/mod.rs
@@ -11,16 +11,19 @@
 mod close;
 mod connection;
 mod discard;
+mod eviction;
 mod framing;
 mod permits;
+mod phase;
 mod stream;
 mod unread;
 
 pub use close::{EndReason, FinalResponse, RETRY_AFTER_SECONDS, close};
-pub use connection::{ClientConnection, REQUEST_TIMEOUT};
+pub use connection::ClientConnection;
 pub use discard::poll_disconnected;
 pub use framing::FramingError;
 pub use permits::{Admission, AdmissionDecision, ConnectionPermit};
+pub use phase::REQUEST_TIMEOUT;
 pub use stream::InspectedStream;
 pub use unread::read_unreported;
 
--- a/crates/net/src/frontend/admission/permits.rs
+++ b/crates/net/src/frontend/admission/permits.rs
@@ -5,7 +5,8 @@
 //! connections linger until the client has read the final response. At most as many linger as there
 //! are spare permits, so that a flood of new connections cannot occupy all sockets.
 
-use super::connection::{ClientConnection, Eviction};
+use super::connection::ClientConnection;
+use super::eviction::Eviction;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::time::Instant;
--- a/crates/net/src/frontend/admission/tests.rs
+++ b/crates/net/src/frontend/admission/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the framing checks and of the admission of connections.
 
-use super::connection::ConnectionPhase;
 use super::framing::MessageFraming;
+use super::phase::ConnectionPhase;
 use super::*;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/net/tests/http_connections/client_disconnects.rs
+++ b/crates/net/tests/http_connections/client_disconnects.rs
@@ -1,8 +1,8 @@
 //! Clients that disconnect, or send excess bytes, while their request waits for a response.
 
 use crate::sockets::{
-    CHUNKED_REQUEST, READINESS_REQUEST, assert_nothing_received, read_head, read_to_end, request,
-    send_filler, send_filler_and_end, wait_for_bytes, wait_until_all_is_read,
+    CHUNKED_REQUEST, assert_nothing_received, read_to_end, request, send_filler,
+    send_filler_and_end, wait_for_bytes, wait_until_all_is_read,
 };
 use crate::test_frontend::TestFrontend;
 use pumiceway_core::{ClientResponse, Event, RequestHandle};
@@ -112,11 +112,7 @@
 fn a_request_that_is_given_up_because_of_a_flood_gets_a_failure() {
     for is_kept in [true, false] {
         let mut frontend = TestFrontend::start(4, 1);
-        let mut flooder = frontend.connect();
-        if is_kept {
-            flooder.write_all(READINESS_REQUEST).unwrap();
-            read_head(&flooder);
-        }
+        let mut flooder = frontend.connect_as(is_kept);
         flooder.write_all(request("t1", "x").as_bytes()).unwrap();
         let submitted = frontend.next_request();
         // The connection is reset over unread bytes once the limit is exceeded, so all but the last
@@ -145,10 +141,7 @@
     send_filler(&stream, 1 << 20).unwrap();
     // Bytes that the frontend reads after the response would count as the next request.
     wait_until_all_is_read(&stream);
-    submitted
-        .response
-        .send(ClientResponse::Served("1".into()))
-        .unwrap();
+    submitted.serve("1");
     wait_for_bytes(&stream);
     send_filler_and_end(&stream);
     let response = read_to_end(&stream);
--- a/crates/net/tests/http_connections/final_responses.rs
+++ b/crates/net/tests/http_connections/final_responses.rs
@@ -1,8 +1,8 @@
 //! Final responses on connections that are closed before a request is complete.
 
 use crate::sockets::{
-    READINESS_REQUEST, TEST_TIMEOUT, assert_overloaded, connect, read_head, read_to_end, request,
-    send_filler_and_end, wait_for_bytes, wait_until_all_is_read,
+    TEST_TIMEOUT, assert_overloaded, connect, read_to_end, request, send_filler_and_end,
+    wait_for_bytes, wait_until_all_is_read,
 };
 use crate::test_frontend::TestFrontend;
 use pumiceway_net::frontend::admission::REQUEST_TIMEOUT;
@@ -38,11 +38,7 @@
     let whole = request("t1", "xx");
     for is_kept in [true, false] {
         let mut frontend = TestFrontend::start(1, 64);
-        let mut evicted = frontend.connect();
-        if is_kept {
-            evicted.write_all(READINESS_REQUEST).unwrap();
-            read_head(&evicted);
-        }
+        let mut evicted = frontend.connect_as(is_kept);
         let (first, last) = whole.split_at(whole.len() - 1);
         evicted.write_all(first.as_bytes()).unwrap();
         wait_until_all_is_read(&evicted);
@@ -65,13 +61,9 @@
 #[test]
 fn an_idle_connection_that_is_evicted_or_times_out_ends_without_a_response() {
     let mut frontend = TestFrontend::start(1, 64);
-    let mut evicted = frontend.connect();
-    evicted.write_all(READINESS_REQUEST).unwrap();
-    read_head(&evicted);
-    let mut timed_out = frontend.connect();
+    let evicted = frontend.connect_as(true);
+    let timed_out = frontend.connect_as(true);
     assert_eq!(read_to_end(&evicted), "");
-    timed_out.write_all(READINESS_REQUEST).unwrap();
-    read_head(&timed_out);
     frontend.advance_clock(Duration::from_secs(120));
     assert_eq!(read_to_end(&timed_out), "");
     drop((evicted, timed_out));
--- a/crates/net/tests/http_connections/response_bytes.rs
+++ b/crates/net/tests/http_connections/response_bytes.rs
@@ -1,8 +1,8 @@
 //! The exact bytes of responses, except for their date, and the exact times of timeout responses.
 
 use crate::sockets::{
-    CHUNKED_REQUEST, MILLISECOND, READINESS_REQUEST, assert_nothing_received, connect, read_head,
-    read_to_end, request, wait_for_bytes, wait_until_all_is_read,
+    CHUNKED_REQUEST, MILLISECOND, READINESS_REQUEST, assert_nothing_received, connect, read_to_end,
+    request, wait_for_bytes, wait_until_all_is_read,
 };
 use crate::test_frontend::{RESPOND_WITHIN, SubmittedRequest, TestFrontend};
 use pumiceway_core::{ClientResponse, Failure, Rejection};
@@ -144,11 +144,7 @@
     ] {
         for is_kept in [true, false] {
             let mut frontend = TestFrontend::start(4, 1);
-            let mut stream = frontend.connect();
-            if is_kept {
-                stream.write_all(READINESS_REQUEST).unwrap();
-                read_head(&stream);
-            }
+            let mut stream = frontend.connect_as(is_kept);
             stream.write_all(request.as_bytes()).unwrap();
             let text = read_to_end(&stream);
             assert!(text.starts_with(expected), "{request:.40?}: {text:?}");
@@ -250,11 +246,7 @@
     let mut stream = frontend.connect();
     let pipelined = format!("{CHUNKED_REQUEST}{}", request("t2", "x"));
     stream.write_all(pipelined.as_bytes()).unwrap();
-    let submitted = frontend.next_request();
-    submitted
-        .response
-        .send(ClientResponse::Served("1".into()))
-        .unwrap();
+    frontend.next_request().serve("1");
     let first = "HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n1";
     let second = error_response(
         "400 Bad Request",
--- a/crates/net/tests/http_connections/shutdown.rs
+++ b/crates/net/tests/http_connections/shutdown.rs
@@ -97,14 +97,6 @@
 /// Time that a connection may stay open between two requests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 
-/// A connection that has carried a readiness request, and is idle.
-fn kept_connection(frontend: &TestFrontend) -> TcpStream {
-    let mut stream = frontend.connect();
-    stream.write_all(READINESS_REQUEST).unwrap();
-    read_head(&stream);
-    stream
-}
-
 /// The parts of a request that may have been read when something ends its connection: the first
 /// byte, a part of the head, the whole head, and a part of the body.
 fn partial_requests(whole: &str) -> [&str; 4] {
@@ -121,21 +113,15 @@
         for is_kept in [true, false] {
             let case = format!("kept: {is_kept}, read: {part:?}");
             let mut frontend = TestFrontend::start(8, 2);
-            let idle = kept_connection(&frontend);
-            let mut stream = if is_kept {
-                kept_connection(&frontend)
-            } else {
-                frontend.connect()
-            };
+            let idle = frontend.connect_as(true);
+            let mut stream = frontend.connect_as(is_kept);
             stream.write_all(part.as_bytes()).unwrap();
             wait_until_all_is_read(&stream);
             frontend.close();
             // Once the idle connection has ended, the shutdown has reached all connections.
             assert_eq!(read_to_end(&idle), "", "{case}");
             stream.write_all(&whole.as_bytes()[part.len()..]).unwrap();
-            let submitted = frontend.next_request();
-            let served = ClientResponse::Served("1".into());
-            submitted.response.send(served).unwrap();
+            frontend.next_request().serve("1");
             let response = read_to_end(&stream);
             assert!(response.starts_with("HTTP/1.1 200"), "{case}: {response}");
             assert!(response.contains("connection: close"), "{case}: {response}");
@@ -153,18 +139,14 @@
     let whole = request("t1", "xx");
     for part in partial_requests(&whole).into_iter().chain([whole.as_str()]) {
         let mut frontend = TestFrontend::start(8, 2);
-        let mut stream = kept_connection(&frontend);
+        let mut stream = frontend.connect_as(true);
         frontend.stall(|| {
             stream.write_all(part.as_bytes()).unwrap();
             frontend.close();
         });
         wait_until_all_is_read(&stream);
         stream.write_all(&whole.as_bytes()[part.len()..]).unwrap();
-        let submitted = frontend.next_request();
-        submitted
-            .response
-            .send(ClientResponse::Served("1".into()))
-            .unwrap();
+        frontend.next_request().serve("1");
         let response = read_to_end(&stream);
         assert!(response.starts_with("HTTP/1.1 200"), "{response}");
         drop(stream);
@@ -176,18 +158,14 @@
 #[test]
 fn what_arrives_while_the_process_is_held_up_before_an_idle_timeout_is_answered() {
     let mut frontend = TestFrontend::start(8, 2);
-    let mut stream = kept_connection(&frontend);
+    let mut stream = frontend.connect_as(true);
     let whole = request("t1", "xx");
     frontend.stall_and_advance_clock(IDLE_TIMEOUT, || {
         stream.write_all(&whole.as_bytes()[..40]).unwrap();
     });
     wait_until_all_is_read(&stream);
     stream.write_all(&whole.as_bytes()[40..]).unwrap();
-    let submitted = frontend.next_request();
-    submitted
-        .response
-        .send(ClientResponse::Served("1".into()))
-        .unwrap();
+    frontend.next_request().serve("1");
     assert!(read_head(&stream).starts_with("HTTP/1.1 200"));
     drop(stream);
     frontend.shut_down();
@@ -204,11 +182,7 @@
             let mut frontend = TestFrontend::start(8, 2);
             // On a new connection the timeout of the request starts with the connection.
             frontend.advance_clock(Duration::from_millis(100));
-            let mut stream = if is_kept {
-                kept_connection(&frontend)
-            } else {
-                frontend.connect()
-            };
+            let mut stream = frontend.connect_as(is_kept);
             stream.write_all(part.as_bytes()).unwrap();
             wait_until_all_is_read(&stream);
             frontend.close();
--- a/crates/net/tests/http_connections/test_frontend.rs
+++ b/crates/net/tests/http_connections/test_frontend.rs
@@ -1,12 +1,13 @@
 //! An HTTP frontend without a core, which runs on a thread of its own with a paused clock.
 
-use crate::sockets::{TEST_TIMEOUT, connect, wait_until};
+use crate::sockets::{READINESS_REQUEST, TEST_TIMEOUT, connect, read_head, wait_until};
 use pumiceway_core::{ClientRequest, ClientResponse, Event, RequestHandle};
 use pumiceway_net::config::SocketBudget;
 use pumiceway_net::frontend::http::HttpFrontend;
 use pumiceway_net::frontend::{CloseSignal, EventSender, FrontendState, LoopMessage};
 use pumiceway_test_support::SETTINGS;
 use std::cell::Cell;
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -63,6 +64,14 @@
     pub response: oneshot::Sender<ClientResponse>,
 }
 
+impl SubmittedRequest {
+    /// Serves the request with this result.
+    pub fn serve(self, result: &'static str) {
+        let served = ClientResponse::Served(result.into());
+        self.response.send(served).unwrap();
+    }
+}
+
 impl TestFrontend {
     /// Starts a frontend with these numbers of permits.
     pub fn start(inbound: usize, spare: usize) -> TestFrontend {
@@ -184,6 +193,16 @@
         connect(self.address)
     }
 
+    /// Connects, and sends a readiness request first if the connection is to be a kept one.
+    pub fn connect_as(&self, is_kept: bool) -> TcpStream {
+        let mut stream = self.connect();
+        if is_kept {
+            stream.write_all(READINESS_REQUEST).unwrap();
+            read_head(&stream);
+        }
+        stream
+    }
+
     /// Waits for the next message to the event loop. Returns `None` on a timeout.
     pub fn next_message(&mut self) -> Option<LoopMessage> {
         let end = Instant::now() + TEST_TIMEOUT;
