Reproduce the memory limit on real processes: crowds, lengthy responses, a memory watch

Need: no stand-in could take much memory, and nothing watched it. Change: the fault fleet has crowds of troublesome clients (twelve conducts), lengthy responses (six kinds), a watch that reads the memory of each process, files counted, and kills it over the limit, and a throttle that runs a process for a quarter of the time. 'pressure' puts them together for one process, as a test and as an example to run by hand.

--- a/crates/pumiceway/tests/common/mod.rs
+++ b/crates/pumiceway/tests/common/mod.rs
@@ -7,7 +7,8 @@
 use std::ffi::OsStr;
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::Child;
+use std::process::{Child, Command};
+use std::sync::LazyLock;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,21 @@
         .into()
 }
 
+/// The program under test in its release build, whose memory is that of the deployed one.
+/// `FAULT_PROGRAM` sets another build of it.
+pub fn release_program() -> PathBuf {
+    static BUILT: LazyLock<PathBuf> = LazyLock::new(|| {
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--release", "--locked", "--bin", "pumiceway"]);
+        let status = build.current_dir(env!("CARGO_MANIFEST_DIR")).status();
+        assert!(status.unwrap().success(), "the release build has failed");
+        let debug = Path::new(env!("CARGO_BIN_EXE_pumiceway"));
+        let profiles = debug.ancestors().nth(2).unwrap();
+        profiles.join("release").join(debug.file_name().unwrap())
+    });
+    std::env::var_os("FAULT_PROGRAM").map_or_else(|| BUILT.clone(), PathBuf::from)
+}
+
 impl Process {
     /// Starts the program with this configuration, and waits until it listens.
     pub fn start(config: &Path, gearman: &Path) -> Process {
@@ -62,7 +78,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let status = std::process::Command::new("kill")
+        let status = Command::new("kill")
             .args([name, &self.child.id().to_string()])
             .status();
         assert!(status.unwrap().success());
--- a/crates/test-support/src/peer.rs
+++ b/crates/test-support/src/peer.rs
@@ -43,6 +43,16 @@
         let _ = self.stream.write_all(&bytes);
     }
 
+    /// Sends bytes. Returns false if the connection has failed.
+    pub(crate) fn send_bytes(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).is_ok()
+    }
+
+    /// The `X-Txn` header of the message that was read last.
+    pub(crate) fn request_id(&self) -> &str {
+        &self.request_id
+    }
+
     fn encode(&self, message: &str) -> Vec<u8> {
         let words: Vec<&str> = message.splitn(3, ' ').collect();
         match words[..] {
--- a/crates/test-support/src/processes/conditions.rs
+++ b/crates/test-support/src/processes/conditions.rs
@@ -1,4 +1,5 @@
-//! The parameters of a test run: how lists are delivered, the deadlines, and the socket limit.
+//! The parameters of a test run: how lists are delivered, the deadlines, and the limits on sockets
+//! and memory.
 
 use crate::SETTINGS;
 use std::time::Duration;
@@ -17,6 +18,8 @@
 /// The socket limits to draw from.
 const MANY_SOCKETS: usize = 1_024;
 const FEW_SOCKETS: usize = 128;
+/// The memory limits to draw from, in MiB.
+const MEMORY_LIMITS_MB: [u64; 3] = [32, 64, 192];
 
 /// How endpoint lists reach the dispatchers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,8 +52,12 @@
     pub lists: ListDelivery,
     /// The deadline of the idempotent class, and of the non-idempotent one.
     pub deadlines: [Duration; 2],
+    /// The longest time that a client waits.
+    pub max_remaining: Duration,
     /// The socket limit of a dispatcher.
     pub sockets: usize,
+    /// The memory limit of a dispatcher, in MiB.
+    pub memory_mb: u64,
 }
 
 impl Conditions {
@@ -75,13 +82,15 @@
         Conditions {
             lists,
             deadlines,
+            max_remaining: MAX_REMAINING,
             sockets,
+            memory_mb: *rng.choice(&MEMORY_LIMITS_MB).unwrap(),
         }
     }
 
     /// The time that the client of a request waits, by class.
     pub fn remaining(&self, is_non_idempotent: bool) -> Duration {
-        self.deadlines[usize::from(is_non_idempotent)].min(MAX_REMAINING)
+        self.deadlines[usize::from(is_non_idempotent)].min(self.max_remaining)
     }
 
     /// The time from SIGTERM until a process may be killed.
--- a/crates/test-support/src/processes/dispatcher.rs
+++ b/crates/test-support/src/processes/dispatcher.rs
@@ -1,11 +1,13 @@
 //! A dispatcher, whose processes are started, configured, signalled, killed and restarted.
 
 use super::discovery::{DiscoveryLink, OldAddress};
+use super::memory::{MemoryRecord, MemoryWatch};
 use super::program::{field, is_ready, serve};
 use super::service::DiscoveryService;
 use super::{Conditions, TestFleet};
+use rustix::process::{Pid, Signal, kill_process};
 use std::path::PathBuf;
-use std::process::{Child, Command};
+use std::process::Child;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -49,6 +51,8 @@
     /// The periods in which idle connections exhausted its sockets.
     pub socket_exhaustions: Mutex<Vec<SocketExhaustion>>,
     child: Mutex<Option<Child>>,
+    /// The watch over the memory of each process, in order.
+    memory: Mutex<Vec<MemoryWatch>>,
     /// Whether a fault is about to end its process, or no process was started yet.
     is_claimed: AtomicBool,
     /// Held while its configuration is written and a process reads it.
@@ -80,6 +84,7 @@
             runs: Mutex::default(),
             socket_exhaustions: Mutex::default(),
             child: Mutex::default(),
+            memory: Mutex::default(),
             is_claimed: AtomicBool::new(true),
             config_lock: Mutex::default(),
             config: std::env::temp_dir().join(file),
@@ -96,6 +101,7 @@
         let started_at = Instant::now();
         let (child, listening_line) = serve(&fleet.program, &self.config, &[]);
         let address = listening_line.and_then(|line| field(&line, "address"));
+        self.watch_memory(child.id());
         *self.child.lock().unwrap() = Some(child);
         self.runs.lock().unwrap().push(ProcessRun {
             started_at,
@@ -107,12 +113,26 @@
         self.is_claimed.store(false, Ordering::SeqCst);
     }
 
+    /// Watches the memory of its process, and kills the process over the limit, as the platform does.
+    fn watch_memory(&self, process: u32) {
+        let limit = self.conditions.memory_mb << 20;
+        let kill = move || send_signal(process, Signal::KILL);
+        let watch = MemoryWatch::start(process, limit, kill);
+        self.memory.lock().unwrap().push(watch);
+    }
+
+    /// What was seen of the memory of its processes, in order.
+    pub fn memory_records(&self) -> Vec<MemoryRecord> {
+        let watches = self.memory.lock().unwrap();
+        watches.iter().map(MemoryWatch::record).collect()
+    }
+
     /// Moves its discovery to another address with a new configuration.
     pub fn reconfigure(&self, old_address: OldAddress) {
         let _config_lock = self.config_lock.lock().unwrap();
         self.link.move_to_next_address(old_address);
         self.write_config();
-        self.signal("-HUP");
+        self.signal(Signal::HUP);
         self.link.record_move();
     }
 
@@ -121,19 +141,20 @@
         let settings = self.conditions.settings(self.number, self.instance_count);
         let discovery = self.link.address();
         let bootstrap_list = &self.bootstrap_list;
-        let sockets = self.conditions.sockets;
+        let Conditions {
+            sockets, memory_mb, ..
+        } = self.conditions;
+        let limits = format!(r#"{{"sockets":{sockets},"memory_mb":{memory_mb}}}"#);
         let text = format!(
-            r#"{{"listen":"127.0.0.1:0","discovery":"{discovery}","limits":{{"sockets":{sockets}}},"known":{bootstrap_list},"settings":{settings}}}"#
+            r#"{{"listen":"127.0.0.1:0","discovery":"{discovery}","limits":{limits},"known":{bootstrap_list},"settings":{settings}}}"#
         );
         std::fs::write(&self.config, text).unwrap();
     }
 
     /// Sends a signal to its process, if any.
-    pub fn signal(&self, name: &str) {
+    pub fn signal(&self, signal: Signal) {
         if let Some(child) = &*self.child.lock().unwrap() {
-            let _ = Command::new("kill")
-                .args([name, &child.id().to_string()])
-                .status();
+            send_signal(child.id(), signal);
         }
     }
 
@@ -153,10 +174,10 @@
     pub fn terminate(&self, fleet: &TestFleet, second_sigterm: bool) {
         let terminated_at = Instant::now();
         self.update_run(|run| run.terminated_at = Some(terminated_at));
-        self.signal("-TERM");
+        self.signal(Signal::TERM);
         std::thread::sleep(STOP_PROPAGATION_DELAY);
         if second_sigterm {
-            self.signal("-TERM");
+            self.signal(Signal::TERM);
         }
         *self.address.lock().unwrap() = None;
         let kill_at = terminated_at + self.conditions.kill_after();
@@ -226,6 +247,13 @@
     }
 }
 
+/// Sends a signal to a process. It may have ended already.
+fn send_signal(process: u32, signal: Signal) {
+    if let Some(process) = Pid::from_raw(process as i32) {
+        let _ = kill_process(process, signal);
+    }
+}
+
 impl Drop for Dispatcher {
     fn drop(&mut self) {
         self.kill();
--- a/crates/test-support/src/processes/endpoints.rs
+++ b/crates/test-support/src/processes/endpoints.rs
@@ -1,7 +1,10 @@
-//! Endpoints that serve requests, hang, reset connections or respond twice, and the endpoint list of discovery.
+//! Endpoints that serve requests, hang, reset connections, respond twice or at length, and the
+//! endpoint list of discovery.
 
+use super::lengthy::{self, LengthyResponse};
 use crate::{Peer, endpoint_line, listing, serve_each};
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -17,6 +20,8 @@
     "500 Broken",
     "400 Bad",
 ];
+/// One in this many responses is lengthy, where an endpoint responds at length.
+const LENGTHY_ONE_IN: u64 = 3;
 /// The number of changes that an outdated list lacks.
 const OUTDATED_BY: usize = 3;
 
@@ -53,6 +58,8 @@
     /// It serves the request, and a second response follows the first one. That one says that the
     /// endpoint has rejected the request, or names another status.
     RespondsTwice,
+    /// One in three of its responses is of this kind; it serves the other requests.
+    RespondsAtLength(LengthyResponse),
 }
 
 /// A change of the list.
@@ -95,6 +102,8 @@
     behaviors: Mutex<Vec<Behavior>>,
     changes: Mutex<Vec<ListChange>>,
     arrivals: Mutex<Vec<Arrival>>,
+    /// The number of responses that may have been lengthy.
+    lengthy_candidates: AtomicU64,
 }
 
 impl Endpoints {
@@ -108,6 +117,7 @@
             behaviors: Mutex::new(vec![Behavior::Serves; count]),
             changes: Mutex::default(),
             arrivals: Mutex::default(),
+            lengthy_candidates: AtomicU64::default(),
         });
         for (endpoint, listener) in listeners.into_iter().enumerate() {
             let endpoints = endpoints.clone();
@@ -137,11 +147,23 @@
                     ));
                 }
                 Behavior::Hangs => std::thread::sleep(HANG_DURATION),
+                Behavior::RespondsAtLength(response) if self.is_next_lengthy() => {
+                    lengthy::respond(&mut peer, response);
+                }
+                Behavior::RespondsAtLength(_) => {
+                    std::thread::sleep(JOB_DURATION);
+                    peer.send("done yes");
+                }
                 Behavior::Resets => return peer.reset(),
             }
         }
     }
 
+    fn is_next_lengthy(&self) -> bool {
+        let number = self.lengthy_candidates.fetch_add(1, Ordering::Relaxed);
+        number.is_multiple_of(LENGTHY_ONE_IN)
+    }
+
     /// The number of endpoints.
     pub fn count(&self) -> usize {
         self.ports.len()
--- a/crates/test-support/src/processes/faults/injection.rs
+++ b/crates/test-support/src/processes/faults/injection.rs
@@ -2,9 +2,11 @@
 
 use super::{Fault, Schedule};
 use crate::processes::TestFleet;
+use crate::processes::crowds::{self, Conduct};
 use crate::processes::dispatcher::{Dispatcher, SocketExhaustion};
 use crate::processes::endpoints::{Behavior, ListedStatus};
 use crate::processes::service::{Cost, USUAL_COST};
+use rustix::process::Signal;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -12,6 +14,9 @@
 
 /// The time between two moves of discovery in a row.
 const MOVE_INTERVAL: Duration = Duration::from_millis(150);
+/// A dispatcher that is throttled is suspended and runs for these times in turn.
+const THROTTLE_SUSPENDED: Duration = Duration::from_millis(15);
+const THROTTLE_RUNNING: Duration = Duration::from_millis(5);
 /// The number of idle connections that exhaust the sockets of a dispatcher, as a multiple of its
 /// socket limit.
 const CONNECTIONS_PER_SOCKET: usize = 2;
@@ -56,9 +61,9 @@
             duration,
         } => {
             let dispatcher = &fleet.dispatchers[dispatcher];
-            dispatcher.signal("-STOP");
+            dispatcher.signal(Signal::STOP);
             std::thread::sleep(duration);
-            dispatcher.signal("-CONT");
+            dispatcher.signal(Signal::CONT);
         }
         Fault::DiscoveryDown {
             duration,
@@ -124,6 +129,19 @@
             dispatcher,
             duration,
         } => exhaust_sockets(fleet, &fleet.dispatchers[dispatcher], duration),
+        Fault::ClientCrowd {
+            dispatcher,
+            conduct,
+            connections,
+            duration,
+        } => {
+            let dispatcher = &fleet.dispatchers[dispatcher];
+            send_crowd(dispatcher, conduct, connections, duration);
+        }
+        Fault::Throttle {
+            dispatcher,
+            duration,
+        } => throttle(&fleet.dispatchers[dispatcher], duration),
         Fault::DisconnectBurst { duration } => {
             fleet.disconnect_burst.store(true, Ordering::Relaxed);
             std::thread::sleep(duration);
@@ -132,6 +150,24 @@
     }
 }
 
+fn send_crowd(dispatcher: &Dispatcher, conduct: Conduct, connections: usize, duration: Duration) {
+    let until = Instant::now() + duration;
+    let name = format!("crowd-{}-{conduct:?}", dispatcher.number);
+    let address = || dispatcher.address.lock().unwrap().as_ref()?.parse().ok();
+    let is_over = || Instant::now() >= until;
+    crowds::run(conduct, connections, &name, address, is_over);
+}
+
+fn throttle(dispatcher: &Dispatcher, duration: Duration) {
+    let until = Instant::now() + duration;
+    while Instant::now() < until {
+        dispatcher.signal(Signal::STOP);
+        std::thread::sleep(THROTTLE_SUSPENDED);
+        dispatcher.signal(Signal::CONT);
+        std::thread::sleep(THROTTLE_RUNNING);
+    }
+}
+
 fn kill(fleet: &TestFleet, one_in: usize, downtime: Duration) {
     let killed: Vec<&Dispatcher> = every_nth(fleet, one_in)
         .filter(|dispatcher| dispatcher.claim())
@@ -148,7 +184,7 @@
         return;
     }
     if sighup {
-        dispatcher.signal("-HUP");
+        dispatcher.signal(Signal::HUP);
     }
     dispatcher.terminate(fleet, second_sigterm);
     dispatcher.launch(fleet);
--- a/crates/test-support/src/processes/faults/mod.rs
+++ b/crates/test-support/src/processes/faults/mod.rs
@@ -7,6 +7,7 @@
 pub use injection::inject;
 pub use schedule::draw_schedule;
 
+use super::crowds::Conduct;
 use super::discovery::{CallFault, OldAddress, WatchLoss};
 use super::endpoints::Behavior;
 use super::service::Failure;
@@ -64,7 +65,7 @@
         gone: bool,
         return_after: Duration,
     },
-    /// An endpoint hangs, resets connections or responds twice.
+    /// An endpoint hangs, resets connections, responds twice or at length.
     EndpointMisbehaves {
         endpoint: usize,
         behavior: Behavior,
@@ -77,6 +78,18 @@
     },
     /// All clients disconnect right after each request.
     DisconnectBurst { duration: Duration },
+    /// A crowd of troublesome clients connects to a dispatcher.
+    ClientCrowd {
+        dispatcher: usize,
+        conduct: Conduct,
+        connections: usize,
+        duration: Duration,
+    },
+    /// A dispatcher is suspended and resumed in turn, so that it runs for a quarter of the time.
+    Throttle {
+        dispatcher: usize,
+        duration: Duration,
+    },
 }
 
 /// Faults, each with the time from the start of the run at which it begins.
--- a/crates/test-support/src/processes/mod.rs
+++ b/crates/test-support/src/processes/mod.rs
@@ -2,16 +2,21 @@
 //!
 //! Everything around the processes is a stand-in of this crate: [`service`] is the discovery
 //! service that all dispatchers share, and [`discovery`] is its interface to one dispatcher.
-//! [`endpoints`] serve the jobs that [`clients`] send. [`faults`] draws a schedule of faults from a
+//! [`endpoints`] serve the jobs that [`clients`] send, and [`crowds`] of troublesome clients take
+//! what they can get. [`memory`] watches the processes. [`faults`] draws a schedule of faults from a
 //! seed and injects them, and [`rule_checker`] checks the records of the endpoints and clients
 //! against the invariants.
 
 pub mod clients;
 mod conditions;
+pub mod crowds;
 pub mod discovery;
 mod dispatcher;
 pub mod endpoints;
 pub mod faults;
+pub mod lengthy;
+pub mod memory;
+pub mod pressure;
 mod program;
 pub mod rule_checker;
 pub mod service;
--- a/crates/test-support/src/processes/rule_checker.rs
+++ b/crates/test-support/src/processes/rule_checker.rs
@@ -36,6 +36,12 @@
     pub requests: usize,
     /// How many of them were served.
     pub served: usize,
+    /// How many of them were sent at once by a client that waited for the response.
+    pub awaited: usize,
+    /// How many of these were served.
+    pub awaited_served: usize,
+    /// The longest time that such a client waited.
+    pub longest_wait: Duration,
     /// The violations of invariants, each with its time in seconds.
     pub violations: Vec<String>,
 }
@@ -63,9 +69,14 @@
         let is_forwarded = forwarded.contains_key(request.id.as_str());
         checker.check_end(request, is_forwarded);
     }
+    let awaited = || sent.iter().filter(|request| is_awaited(request));
+    let waits = awaited().map(|request| request.ended_at - request.at);
     RuleReport {
         requests: sent.len(),
         served: sent.iter().filter(|request| is_served(request)).count(),
+        awaited: awaited().count(),
+        awaited_served: awaited().filter(|request| is_served(request)).count(),
+        longest_wait: waits.max().unwrap_or_default(),
         violations: checker.violations,
     }
 }
@@ -82,6 +93,10 @@
     matches!(&request.end, RequestEnd::Response(line) if line.contains(" 200 "))
 }
 
+fn is_awaited(request: &SentRequest) -> bool {
+    request.pace == Pace::AtOnce && request.end != RequestEnd::Disconnected
+}
+
 struct RuleChecker<'a> {
     fleet: &'a TestFleet,
     violations: Vec<String>,
