Forget no consumed id before it expires; shed what could not be remembered

Cause: of more than 4,096 consumed ids the one that expires first was removed, whatever its lifetime; a crowd of clients that leave takes no longer than seconds for as many. Requests that are open count, as each may be consumed.

--- a/crates/core/src/consumed_ids.rs
+++ b/crates/core/src/consumed_ids.rs
@@ -1,26 +1,39 @@
 //! Consumed ids: the request ids of done requests that may have run and must not run again.
 //!
 //! Without them, a request could run twice: a client whose connection broke may send its request
-//! again after the first one has ended and was removed.
+//! again after the first one has ended and was removed. No id is removed before it expires, however
+//! many follow; the reducer opens a request only while there is room for its id.
 
 use pumiceway_decisions::api::Timestamp;
 use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 
-/// Maximum number of ids kept; beyond it, the id that expires first is removed.
-const MAX_IDS: usize = 4096;
-
-#[derive(Default)]
 pub(crate) struct ConsumedIds {
+    max_ids: usize,
     ids: HashSet<Arc<str>>,
     /// When each id expires.
     expiries: BTreeSet<(Timestamp, Arc<str>)>,
 }
 
 impl ConsumedIds {
+    pub(crate) fn new(max_ids: usize) -> ConsumedIds {
+        ConsumedIds {
+            max_ids,
+            ids: HashSet::new(),
+            expiries: BTreeSet::new(),
+        }
+    }
+
+    /// Whether there is room for another id, beside those of `open` requests, each of which may be
+    /// consumed.
+    pub(crate) fn has_room(&mut self, now: Timestamp, open: usize) -> bool {
+        self.expire(now);
+        self.ids.len() + open < self.max_ids
+    }
+
     /// Whether a request with this id must not run again.
     pub(crate) fn contains(&mut self, now: Timestamp, id: &str) -> bool {
-        self.remove_while(|expires_at, _| expires_at <= now);
+        self.expire(now);
         self.ids.contains(id)
     }
 
@@ -29,14 +42,13 @@
         if self.ids.insert(id.clone()) {
             self.expiries.insert((expires_at, id));
         }
-        self.remove_while(|_, count| count > MAX_IDS);
     }
 
-    fn remove_while(&mut self, should_remove: impl Fn(Timestamp, usize) -> bool) {
+    fn expire(&mut self, now: Timestamp) {
         while self
             .expiries
             .first()
-            .is_some_and(|(expires_at, _)| should_remove(*expires_at, self.expiries.len()))
+            .is_some_and(|(expires_at, _)| *expires_at <= now)
         {
             if let Some((_, id)) = self.expiries.pop_first() {
                 self.ids.remove(&id);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,7 +8,7 @@
 //! each of its actions against the [rules](pumiceway_decisions::rules) before executing it.
 //!
 //! ```
-//! use pumiceway_core::{Core, Effect, Event, IdempotencyCacheLimits};
+//! use pumiceway_core::{Core, CoreLimits, Effect, Event};
 //! use pumiceway_decisions::api::Timestamp;
 //! use pumiceway_decisions::settings::DeploymentSettings;
 //!
@@ -17,7 +17,7 @@
 //!     r#"{"lanes": [{"name": "rate-push", "aim-us": 200000, "deadline-us": 5000000, "points": 1,
 //!         "semantics": "read_like"}], "limits": {"most-tries": 3}, "rules": {}}"#,
 //! )?;
-//! let mut core = Core::new(settings.to_settings()?, 42, IdempotencyCacheLimits::default())?;
+//! let mut core = Core::new(settings.to_settings()?, 42, CoreLimits::default())?;
 //! let now = Timestamp::from_micros(1_000_000);
 //! let configured = Event::Configured {
 //!     discovery: Some("127.0.0.1:7000".to_owned()),
@@ -36,6 +36,7 @@
 mod endpoints;
 mod event;
 mod idempotency_cache;
+mod limits;
 mod overview;
 mod reducer;
 mod request;
@@ -46,6 +47,7 @@
 pub use endpoints::{Endpoint, EndpointAddress, EndpointListUpdate, EndpointSource};
 pub use event::{Event, HealthCheckId};
 pub use idempotency_cache::IdempotencyCacheLimits;
+pub use limits::CoreLimits;
 pub use overview::{ClassOverview, Overview};
 pub use reducer::Core;
 pub use request::{ClientRequest, Job, RequestHandle, UniqueId};
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -21,8 +21,8 @@
 use crate::endpoints::EndpointSet;
 use crate::idempotency_cache::IdempotencyCache;
 use crate::{
-    AttemptId, ClassOverview, Effect, Event, HealthCheckId, IdempotencyCacheLimits, Overview,
-    RequestHandle, Warning,
+    AttemptId, ClassOverview, CoreLimits, Effect, Event, HealthCheckId, Overview, RequestHandle,
+    Warning,
 };
 use attempts::InFlightAttempt;
 use balancer::{BalancerInput, InFlightHealthCheck};
@@ -82,11 +82,7 @@
     /// # Errors
     ///
     /// Returns an error if the settings are invalid; see [`Settings::validate`].
-    pub fn new(
-        settings: Settings,
-        seed: u64,
-        cache_limits: IdempotencyCacheLimits,
-    ) -> Result<Core, SettingsError> {
+    pub fn new(settings: Settings, seed: u64, limits: CoreLimits) -> Result<Core, SettingsError> {
         let balancer = Balancer::new(settings.clone(), seed)?;
         Ok(Core {
             timers: Timers::default(),
@@ -95,8 +91,8 @@
             requests: BTreeMap::new(),
             waiting: HashMap::new(),
             request_ids: HashMap::new(),
-            consumed_ids: ConsumedIds::default(),
-            cache: IdempotencyCache::new(cache_limits),
+            consumed_ids: ConsumedIds::new(limits.max_consumed_ids),
+            cache: IdempotencyCache::new(limits.cache),
             retry_after: settings
                 .retry_after
                 .then_some(CORE_RETRY_AFTER.min(settings.max_retry_after)),
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -101,11 +101,24 @@
         } else if self.consumed_ids.contains(now, &request.job.id) {
             let response = ClientResponse::Failed(Failure::MayHaveRunBefore);
             effects.push(Effect::Respond { handle, response });
+        } else if !self.can_remember_id(now, &request) {
+            let response = ClientResponse::Overloaded {
+                retry_after: self.retry_after,
+            };
+            effects.push(Effect::Respond { handle, response });
         } else {
             self.open_request(handle, request, remaining, deadline);
         }
     }
 
+    /// Whether the id of a request can be remembered once the request may have run, or need not be.
+    fn can_remember_id(&mut self, now: Timestamp, request: &ClientRequest) -> bool {
+        let class = self.settings.classes.get(request.class.0);
+        let is_remembered =
+            request.unique_id.is_none() && class.and_then(consumed_id_lifetime).is_some();
+        !is_remembered || self.consumed_ids.has_room(now, self.requests.len())
+    }
+
     /// The remaining time, limited to the deadline of the class. The balancer derives the age of a
     /// request from the longest remaining time it has seen. One that exceeds the deadline would
     /// make all later requests look as if they had been sent long ago.
--- a/crates/net/src/event_loop/dispatcher.rs
+++ b/crates/net/src/event_loop/dispatcher.rs
@@ -8,7 +8,7 @@
 use crate::frontend::gearman::{GearmanFrontend, SPARE_CONNECTIONS};
 use crate::frontend::http::HttpFrontend;
 use crate::frontend::{EventSender, FrontendState};
-use pumiceway_core::{Core, EndpointSource, Event, IdempotencyCacheLimits};
+use pumiceway_core::{Core, CoreLimits, EndpointSource, Event};
 use std::io;
 use std::net::SocketAddr;
 use tokio::net::TcpListener;
@@ -86,22 +86,21 @@
         let (events, messages) = EventSender::new();
         let (close_frontends, closing) = watch::channel(FrontendState::Open);
         let mut frontends = JoinSet::new();
-        let mut cache_limits = IdempotencyCacheLimits::default();
+        let mut limits = CoreLimits::default();
         let mut workers = None;
         if let Some(GearmanListener {
             config: gearman,
             listener,
         }) = gearman
         {
-            cache_limits = gearman.cache_limits;
+            limits.cache = gearman.cache_limits;
             let sessions = prepare_gearman(&mut config, &gearman, &events)?;
             workers = Some(sessions.clone());
             let deployment = config.deployment.clone();
             let frontend = GearmanFrontend::new(events.clone(), deployment, gearman, sessions);
             frontends.spawn(frontend.serve(listener, closing.clone(), move || clock.now()));
         }
-        let core =
-            Core::new(config.settings, config.seed, cache_limits).map_err(io::Error::other)?;
+        let core = Core::new(config.settings, config.seed, limits).map_err(io::Error::other)?;
         let deployment = config.deployment;
         let mut event_loop = EventLoop::new(
             clock,
--- a/crates/net/src/event_loop/tests.rs
+++ b/crates/net/src/event_loop/tests.rs
@@ -5,7 +5,7 @@
 use super::*;
 use crate::config::Config;
 use bytes::Bytes;
-use pumiceway_core::{AttemptOutcome, ClassOverview, ClientRequest, IdempotencyCacheLimits};
+use pumiceway_core::{AttemptOutcome, ClassOverview, ClientRequest, CoreLimits};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
@@ -20,12 +20,7 @@
     );
     let config = Config::from_text(&text, "config", |_| None).unwrap();
     let (events, messages) = EventSender::new();
-    let core = Core::new(
-        config.settings,
-        config.seed,
-        IdempotencyCacheLimits::default(),
-    )
-    .unwrap();
+    let core = Core::new(config.settings, config.seed, CoreLimits::default()).unwrap();
     let mut event_loop = EventLoop::new(
         Clock::start(),
         core,
--- a/crates/test-support/src/fleet/instances.rs
+++ b/crates/test-support/src/fleet/instances.rs
@@ -7,7 +7,7 @@
 use super::plan::InjectedFault;
 use super::settings::settings;
 use super::simulation::Simulation;
-use pumiceway_core::{Core, EndpointListUpdate, Event, IdempotencyCacheLimits};
+use pumiceway_core::{Core, CoreLimits, EndpointListUpdate, Event};
 use pumiceway_decisions::api::{EndpointState, Timestamp};
 use pumiceway_net::discovery::call_schedule::CallSchedule;
 use std::collections::HashMap;
@@ -112,7 +112,7 @@
         let core = Core::new(
             settings,
             self.plan.seed ^ instance as u64,
-            IdempotencyCacheLimits::default(),
+            CoreLimits::default(),
         )
         .expect("the settings of a plan are valid");
         self.instances[instance].start(core, call_schedule, self.now);
--- a/crates/test-support/src/processes/mod.rs
+++ b/crates/test-support/src/processes/mod.rs
@@ -18,6 +18,7 @@
 pub mod memory;
 pub mod pressure;
 mod program;
+pub mod returning;
 pub mod rule_checker;
 pub mod service;
 mod test_fleet;
--- a/crates/test-support/src/processes/rule_checker.rs
+++ b/crates/test-support/src/processes/rule_checker.rs
@@ -3,6 +3,7 @@
 use super::clients::{Connection, Pace, RequestEnd, SentRequest};
 use super::discovery::{ChangeToNotify, NotificationLimits};
 use super::endpoints::{Arrival, ListChange, ListedStatus};
+use super::returning::Departure;
 use super::{ProcessRun, TestFleet};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -71,6 +72,9 @@
     }
     let awaited = || sent.iter().filter(|request| is_awaited(request));
     let waits = awaited().map(|request| request.ended_at - request.at);
+    for departure in &*fleet.departures.lock().unwrap() {
+        checker.check_departure(departure, &arrivals);
+    }
     RuleReport {
         requests: sent.len(),
         served: sent.iter().filter(|request| is_served(request)).count(),
@@ -145,6 +149,24 @@
         }
     }
 
+    /// Checks that nothing was sent on for a client after it had left, and that its job, which is
+    /// not idempotent, ran once although it came again.
+    fn check_departure(&mut self, departure: &Departure, arrivals: &[Arrival]) {
+        let id = &departure.id;
+        let of_departure = arrivals.iter().filter(|arrival| arrival.id == *id);
+        let at: Vec<Instant> = of_departure.map(|arrival| arrival.at).collect();
+        let latest = departure.left_at + MAX_DISCONNECT_DELAY + MEASUREMENT_SLACK;
+        let is_late = |at: &&Instant| **at > latest && **at < departure.returned_at;
+        if let Some(&late) = at.iter().find(is_late) {
+            let description = format!("lost: {id} was sent on after its client had left");
+            self.record_violation(late, description);
+        }
+        if let Some(&again) = at.get(1) {
+            let description = format!("duplicate: {id} ran again after its client came again");
+            self.record_violation(again, description);
+        }
+    }
+
     /// The process of a dispatcher that was started last before this time.
     fn process_run(&self, dispatcher: usize, at: Instant) -> Option<ProcessRun> {
         let runs = self.fleet.dispatchers[dispatcher].runs.lock().unwrap();
--- a/crates/test-support/src/processes/test_fleet.rs
+++ b/crates/test-support/src/processes/test_fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet of dispatchers and the stand-ins around them.
 
 use super::endpoints::Endpoints;
+use super::returning::Departure;
 use super::service::DiscoveryService;
 use super::{Conditions, Dispatcher};
 use std::path::{Path, PathBuf};
@@ -24,6 +25,8 @@
     pub clients_stopped: AtomicBool,
     /// Whether clients disconnect right after each request.
     pub disconnect_burst: AtomicBool,
+    /// What clients that left and came again have sent.
+    pub departures: Mutex<Vec<Departure>>,
     /// Violations of invariants that were recorded during the run.
     pub violations: Mutex<Vec<String>>,
     pub(super) program: PathBuf,
@@ -49,6 +52,7 @@
             dispatchers,
             clients_stopped: AtomicBool::new(false),
             disconnect_burst: AtomicBool::new(false),
+            departures: Mutex::default(),
             violations: Mutex::default(),
             program: program.to_owned(),
         });
