A memory budget that all holders of a process share, as a package without I/O

Change: crates/memory. A holder opens an account and draws before it reads on. While memory is short, the account with the highest burden, its size times the time it has been held, is revoked and has to give up; those that draw wait until it has. What is settled (accepted requests, results) is not revoked. Connections, requests and outboxes have limits of their own, so that responses and lists can be completed, and the last part for requests is for small ones. Buffers and texts carry their account until the last clone of their bytes is dropped. Nothing uses the package yet.

--- /dev/null
+++ b/crates/memory/tests/budget.rs
@@ -0,0 +1,238 @@
+//! Checks who draws, who waits and who is revoked while memory is short.
+
+use pumiceway_memory::{AccountedBuffer, DrawError, Holder, MemoryAccount, MemoryBudget, Revoked};
+use std::future::Future;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, Wake, Waker};
+use std::time::{Duration, Instant};
+
+const TOTAL: usize = 160_000;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Counts how often it is woken.
+#[derive(Default)]
+struct CountingWaker(AtomicUsize);
+
+impl Wake for CountingWaker {
+    fn wake(self: Arc<Self>) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn holding(budget: &MemoryBudget, holder: Holder, bytes: usize, now: Instant) -> MemoryAccount {
+    let mut account = budget.open(holder, now);
+    account.try_draw(bytes, now).unwrap();
+    account
+}
+
+fn poll_once<T>(future: impl Future<Output = T>) -> Poll<T> {
+    pin!(future).poll(&mut Context::from_waker(Waker::noop()))
+}
+
+#[test]
+fn what_is_drawn_is_returned_when_an_account_is_dropped() {
+    let (budget, now) = (MemoryBudget::new(TOTAL), Instant::now());
+    let mut account = holding(&budget, Holder::Response, 1_000, now);
+    account.try_draw(500, now).unwrap();
+    account.give_back(300);
+    assert_eq!((account.held(), budget.report().drawn), (1_200, 1_200));
+    drop(account);
+    let report = budget.report();
+    assert_eq!((report.drawn, report.highest), (0, 1_500));
+    assert_eq!(report.by_holder, [0; Holder::ALL.len()]);
+}
+
+#[test]
+fn the_largest_amount_held_for_the_longest_time_is_revoked_first() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let large = holding(&budget, Holder::Response, 90_000, start);
+    let small = holding(&budget, Holder::Response, 10_000, start);
+    let now = start + SECOND;
+    // Larger, but new.
+    let mut new = holding(&budget, Holder::Response, 50_000, now);
+    assert_eq!(new.try_draw(20_000, now), Err(DrawError::Waiting));
+    assert!(large.is_revoked());
+    assert!(!small.is_revoked() && !new.is_revoked());
+    // Nobody else is revoked before the first has given up.
+    assert_eq!(new.try_draw(20_000, now), Err(DrawError::Waiting));
+    assert_eq!(budget.report().revoked, 1);
+    drop(large);
+    assert_eq!(new.try_draw(20_000, now), Ok(()));
+}
+
+#[test]
+fn an_account_is_revoked_itself_if_no_other_weighs_more() {
+    let (budget, now) = (MemoryBudget::new(TOTAL), Instant::now());
+    let mut small = holding(&budget, Holder::Response, 60_000, now);
+    let mut large = holding(&budget, Holder::Response, 90_000, now);
+    assert_eq!(
+        large.try_draw(20_000, now),
+        Err(DrawError::Revoked(Revoked))
+    );
+    // It stays revoked, and those that wait for it get what it held.
+    assert_eq!(large.try_draw(1, now), Err(DrawError::Revoked(Revoked)));
+    assert_eq!(small.try_draw(20_000, now), Err(DrawError::Waiting));
+    drop(large);
+    assert_eq!(small.try_draw(20_000, now), Ok(()));
+}
+
+#[test]
+fn a_settled_account_is_not_revoked() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let mut settled = holding(&budget, Holder::Response, 150_000, start);
+    settled.settle(start).unwrap();
+    let now = start + SECOND;
+    let mut other = budget.open(Holder::Response, now);
+    assert!(matches!(
+        other.try_draw(20_000, now),
+        Err(DrawError::Revoked(_))
+    ));
+    assert!(!settled.is_revoked());
+    settled.unsettle(now);
+    let mut third = budget.open(Holder::Response, now + SECOND);
+    assert_eq!(
+        third.try_draw(20_000, now + SECOND),
+        Err(DrawError::Waiting)
+    );
+    assert_eq!(settled.settle(now + SECOND), Err(Revoked));
+}
+
+// Clients must not use up what the responses to their requests need, and large requests must not
+// use up what small ones need.
+#[test]
+fn clients_leave_room_for_responses_and_large_requests_for_small_ones() {
+    let (budget, now) = (MemoryBudget::new(TOTAL), Instant::now());
+    let take = |holder: Holder, bytes: usize| {
+        let mut accounts = vec![];
+        loop {
+            let mut account = budget.open(holder, now);
+            if account.try_draw(bytes, now).is_err() {
+                return accounts;
+            }
+            account.settle(now).unwrap();
+            accounts.push(account);
+        }
+    };
+    let connections = take(Holder::Connection, 10_000);
+    assert_eq!(connections.len(), 8);
+    let large = take(Holder::Request, 20_000);
+    assert_eq!(large.len(), 2);
+    let small = take(Holder::Request, 2_000);
+    assert_eq!(small.len(), 10);
+    assert_eq!(take(Holder::Response, 10_000).len(), 2);
+}
+
+#[test]
+fn only_holders_of_its_kind_are_revoked_for_a_limit_of_that_kind() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let response = holding(&budget, Holder::Response, 60_000, start);
+    let old = holding(&budget, Holder::Connection, 40_000, start);
+    let now = start + SECOND;
+    let mut new = holding(&budget, Holder::Connection, 30_000, now);
+    assert_eq!(new.try_draw(20_000, now), Err(DrawError::Waiting));
+    assert!(old.is_revoked() && !response.is_revoked());
+}
+
+#[test]
+fn those_that_wait_are_woken_when_memory_is_returned_and_those_revoked_at_once() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let slow = holding(&budget, Holder::Response, 150_000, start);
+    let slow_waker = Arc::new(CountingWaker::default());
+    let waker = Waker::from(slow_waker.clone());
+    assert!(
+        slow.poll_revoked(&mut Context::from_waker(&waker))
+            .is_pending()
+    );
+    let now = start + SECOND;
+    let mut quick = budget.open(Holder::Response, now);
+    let quick_waker = Arc::new(CountingWaker::default());
+    let waker = Waker::from(quick_waker.clone());
+    let mut cx = Context::from_waker(&waker);
+    assert!(quick.poll_draw(20_000, now, &mut cx).is_pending());
+    assert_eq!(slow_waker.0.load(Ordering::Relaxed), 1);
+    assert_eq!(quick_waker.0.load(Ordering::Relaxed), 0);
+    drop(slow);
+    assert_eq!(quick_waker.0.load(Ordering::Relaxed), 1);
+    assert_eq!(quick.poll_draw(20_000, now, &mut cx), Poll::Ready(Ok(())));
+}
+
+#[test]
+fn an_account_that_waits_is_woken_when_it_is_revoked() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let _settled = {
+        let mut account = holding(&budget, Holder::Response, 100_000, start);
+        account.settle(start).unwrap();
+        account
+    };
+    let slow = holding(&budget, Holder::Response, 50_000, start);
+    let mut waiting = holding(&budget, Holder::Response, 5_000, start + SECOND);
+    let counting = Arc::new(CountingWaker::default());
+    let waker = Waker::from(counting.clone());
+    let mut cx = Context::from_waker(&waker);
+    assert!(
+        waiting
+            .poll_draw(20_000, start + SECOND, &mut cx)
+            .is_pending()
+    );
+    let mut new = budget.open(Holder::Response, start + SECOND * 2);
+    assert_eq!(
+        new.try_draw(58_000, start + SECOND * 2),
+        Err(DrawError::Waiting)
+    );
+    assert!(slow.is_revoked() && waiting.is_revoked());
+    assert_eq!(counting.0.load(Ordering::Relaxed), 1);
+    assert_eq!(
+        waiting.poll_draw(1, start + SECOND * 2, &mut cx),
+        Poll::Ready(Err(Revoked))
+    );
+}
+
+#[test]
+fn a_buffer_draws_its_capacity_and_its_bytes_pay_until_the_last_clone_is_dropped() {
+    let (budget, now) = (MemoryBudget::new(TOTAL), Instant::now());
+    let mut buffer = AccountedBuffer::new(budget.open(Holder::Request, now));
+    for _ in 0..100 {
+        let extended = poll_once(buffer.extend(&[7; 100], || now));
+        assert_eq!(extended, Poll::Ready(Ok(())));
+    }
+    assert!((10_000..=20_000).contains(&budget.report().drawn));
+    let bytes = buffer.into_bytes(now).unwrap();
+    assert_eq!((bytes.len(), budget.report().drawn), (10_000, 10_000));
+    let part = bytes.slice(..10);
+    drop(bytes);
+    assert_eq!(budget.report().drawn, 10_000);
+    drop(part);
+    assert_eq!(budget.report().drawn, 0);
+}
+
+#[test]
+fn a_buffer_whose_account_is_revoked_cannot_grow_or_be_kept() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let mut buffer = AccountedBuffer::new(budget.open(Holder::Response, start));
+    let content = vec![1; 150_000];
+    assert!(poll_once(buffer.extend(&content, || start)).is_ready());
+    let now = start + SECOND;
+    let mut other = budget.open(Holder::Response, now);
+    assert!(other.try_draw(20_000, now).is_err());
+    assert_eq!(
+        poll_once(buffer.extend(&[1], || now)),
+        Poll::Ready(Err(Revoked))
+    );
+    assert!(buffer.into_bytes(now).is_err());
+    assert_eq!(budget.report().drawn, 0);
+}
+
+#[test]
+fn a_text_made_from_a_buffer_pays_for_itself() {
+    let (budget, now) = (MemoryBudget::new(TOTAL), Instant::now());
+    let mut buffer = AccountedBuffer::new(budget.open(Holder::Response, now));
+    assert!(poll_once(buffer.extend(&[b'x'; 10_000], || now)).is_ready());
+    let text = buffer.replace_by("result".to_owned(), now);
+    assert_eq!(budget.report().drawn, "result".len());
+    let bytes = bytes::Bytes::from(text);
+    assert_eq!(&bytes[..], b"result");
+    drop(bytes);
+    assert_eq!(budget.report().drawn, 0);
+}
