--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -130,6 +130,11 @@
         /// Number of endpoints on the lists.
         endpoints: usize,
     },
+    /// Endpoints of a list were left out, as no more can be kept.
+    TooManyEndpoints {
+        /// Their number.
+        left_out: usize,
+    },
     /// A log line from the balancer.
     Decisions(String),
 }
@@ -156,6 +161,12 @@
                     "no endpoint list is confirmed: nothing is sent to its {endpoints} endpoints"
                 )
             }
+            Warning::TooManyEndpoints { left_out } => {
+                write!(
+                    f,
+                    "{left_out} endpoints of a list were left out: the memory permits no more"
+                )
+            }
             Warning::Decisions(line) => f.write_str(line),
         }
     }
--- a/crates/core/src/endpoints/mod.rs
+++ b/crates/core/src/endpoints/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Each source has a list and a lease on it. An endpoint keeps its id while it is listed under the
 //! same name, and also once it is gone, unless at least [`MAX_GONE_ENDPOINTS`] endpoints have left
-//! after it: then its id may be reassigned to a new name.
+//! after it: then its id may be reassigned to a new name. The number of endpoints is limited; while it
+//! is reached, endpoints with new names are left out.
 
 mod leases;
 mod list;
@@ -24,6 +25,8 @@
 /// The endpoints of all sources.
 #[derive(Default)]
 pub(crate) struct EndpointSet {
+    /// Maximum number of records.
+    max_records: usize,
     /// Indexed by endpoint id.
     records: Vec<EndpointRecord>,
     /// Endpoint ids by name.
@@ -53,6 +56,8 @@
     pub(crate) endpoints: Vec<EndpointId>,
     /// Ids that were reassigned to another endpoint.
     pub(crate) reassigned: Vec<EndpointId>,
+    /// Number of endpoints that were left out because the set is full.
+    pub(crate) left_out: usize,
 }
 
 impl AppliedUpdate {
@@ -61,11 +66,19 @@
             kind,
             endpoints: vec![],
             reassigned: vec![],
+            left_out: 0,
         }
     }
 }
 
 impl EndpointSet {
+    pub(crate) fn new(max_records: usize) -> EndpointSet {
+        EndpointSet {
+            max_records,
+            ..EndpointSet::default()
+        }
+    }
+
     pub(crate) fn address(&self, id: EndpointId) -> Option<&EndpointAddress> {
         self.records
             .get(id.index())
@@ -268,7 +281,12 @@
                 }
                 None => {
                     let free_ids = free_ids.get_or_insert_with(|| self.reusable_ids(&in_use()));
-                    self.insert(source, endpoint, free_ids.pop(), &mut applied.reassigned)
+                    let free_id = free_ids.pop();
+                    if free_id.is_none() && self.records.len() >= self.max_records {
+                        applied.left_out += 1;
+                        continue;
+                    }
+                    self.insert(source, endpoint, free_id, &mut applied.reassigned)
                 }
             };
             if is_ready {
--- a/crates/core/src/reducer/endpoint_list.rs
+++ b/crates/core/src/reducer/endpoint_list.rs
@@ -100,6 +100,11 @@
         applied: AppliedUpdate,
         effects: &mut Vec<Effect>,
     ) {
+        if applied.left_out > 0 {
+            effects.push(Effect::Warn(Warning::TooManyEndpoints {
+                left_out: applied.left_out,
+            }));
+        }
         for endpoint in applied.reassigned {
             effects.push(Effect::CloseIdleConnections { endpoint });
         }
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -98,7 +98,7 @@
                 .then_some(CORE_RETRY_AFTER.min(settings.max_retry_after)),
             attempts: BTreeMap::new(),
             avoid_idle_connections_until: Timestamp::ORIGIN,
-            endpoints: EndpointSet::default(),
+            endpoints: EndpointSet::new(limits.max_endpoints),
             discovery: None,
             is_ready: false,
             balancer,
@@ -176,6 +176,11 @@
         }
     }
 
+    /// The number of endpoints that are kept, including those that were gone a short time ago.
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints.iter().count()
+    }
+
     /// Returns the current state, for operators.
     pub fn overview(&self) -> Overview {
         let mut classes = vec![ClassOverview::default(); self.settings.classes.len()];
--- a/crates/core/tests/endpoint_ids.rs
+++ b/crates/core/tests/endpoint_ids.rs
@@ -211,3 +211,30 @@
     assert_eq!(ready.count(), 3);
     assert_eq!(known.len(), 2 * MAX_GONE_ENDPOINTS);
 }
+
+/// Memory is bounded however many names a source lists, and the endpoints that are kept stay in use.
+#[test]
+fn endpoints_beyond_the_limit_are_left_out_and_the_others_are_kept() {
+    let [settings, ..] = deployments();
+    let limits = CoreLimits {
+        max_endpoints: 2 * MAX_GONE_ENDPOINTS,
+        ..CoreLimits::default()
+    };
+    let mut core = TestCore::with_limits(settings, &[endpoint("kept")], limits);
+    let names = |numbers: std::ops::Range<usize>| numbers.map(numbered_endpoint).collect();
+    let first = core.update_list(EndpointListUpdate::Delta(names(0..3 * MAX_GONE_ENDPOINTS)));
+    let left_out = MAX_GONE_ENDPOINTS + 1;
+    assert!(first.contains(&Effect::Warn(Warning::TooManyEndpoints { left_out })));
+    assert_eq!(core.overview().endpoints.len(), limits.max_endpoints);
+    // Endpoints that were gone before make room for new names.
+    core.list(&[endpoint("kept")]);
+    let second = core.update_list(EndpointListUpdate::Delta(names(9_000..9_500)));
+    assert!(
+        !second
+            .iter()
+            .any(|effect| matches!(effect, Effect::Warn(_)))
+    );
+    let known = core.overview().endpoints;
+    assert_eq!(known.len(), limits.max_endpoints);
+    assert!(known.contains(&endpoint("kept")) && known.contains(&numbered_endpoint(9_499)));
+}
--- a/crates/memory/src/account.rs
+++ b/crates/memory/src/account.rs
@@ -33,7 +33,7 @@
     }
 
     /// Draws an amount if it is available. If not, others are revoked, or this account if its burden
-    /// is the highest.
+    /// is the highest. Until it draws again or is dropped, the account has a place in the queue.
     ///
     /// # Errors
     ///
@@ -63,7 +63,7 @@
             Draw::Revoked => Poll::Ready(Err(Revoked)),
             Draw::Waiting => {
                 state.register(self.id, cx.waker());
-                state.wait(cx.waker());
+                state.wait(self.id, cx.waker());
                 Poll::Pending
             }
         }
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! Therefore each holder draws what it needs from one [`MemoryBudget`] before it reads on. While
 //! memory is short, the holder whose memory has been held longest, weighed by its size, is revoked:
-//! it has to give up, with an error to its peer, and the others wait until it has. A peer that is
+//! it has to give up, with an error to its peer, and the others wait in turn until it has. A peer that is
 //! quick or needs little is thus never the one that pays for those that are slow and need much.
 //!
 //! ```
@@ -38,5 +38,5 @@
 
 pub use account::{DrawError, MemoryAccount, Revoked};
 pub use budget::{MemoryBudget, MemoryReport};
-pub use buffer::{AccountedBuffer, AccountedText};
+pub use buffer::{AccountedBuffer, AccountedContent};
 pub use policy::Holder;
--- a/crates/memory/src/policy.rs
+++ b/crates/memory/src/policy.rs
@@ -48,7 +48,8 @@
             Holder::Connection => total / 2,
             Holder::Request if held <= SMALL_REQUEST_BYTES => total / 8 * 3,
             Holder::Request | Holder::Outbox => total / 4,
-            Holder::Response | Holder::EndpointList => total,
+            Holder::EndpointList => total / 4 * 3,
+            Holder::Response => total,
         }
     }
 }
--- a/crates/memory/src/state.rs
+++ b/crates/memory/src/state.rs
@@ -63,8 +63,17 @@
     revoked_count: u64,
     last_id: u64,
     accounts: BTreeMap<AccountId, Account>,
+    /// Those that wait for memory, in the order in which they get it.
+    waiting: Vec<Waiter>,
+}
+
+/// An account that waits for memory.
+struct Waiter {
+    id: AccountId,
+    holder: Holder,
+    bytes: usize,
     /// Woken when memory is returned.
-    waiting: Vec<Waker>,
+    waker: Option<Waker>,
 }
 
 impl State {
@@ -96,7 +105,8 @@
     }
 
     /// Draws an amount, or revokes the accounts that have to give up for it: those with the highest
-    /// burden, which may be this one.
+    /// burden, which may be this one. An account that has to wait gets its place in the queue, so that
+    /// none that comes later is served first.
     pub(crate) fn draw(&mut self, id: AccountId, bytes: usize, now: Instant) -> Draw {
         let Some(account) = self.accounts.get(&id) else {
             return Draw::Revoked;
@@ -105,8 +115,9 @@
             return Draw::Revoked;
         }
         let (holder, held) = (account.holder, account.held + bytes);
-        while let Some((scope, excess)) = self.excess(holder, held, bytes) {
+        while let Some((scope, excess)) = self.excess(id, holder, held, bytes) {
             if excess <= self.being_returned(scope) {
+                self.enqueue(id, holder, bytes);
                 return Draw::Waiting;
             }
             let first = self.first_to_revoke(id, bytes, scope, now);
@@ -115,16 +126,25 @@
                 return Draw::Revoked;
             }
         }
+        self.stop_waiting(id);
         self.add(id, bytes, now);
         Draw::Drawn
     }
 
     /// By how much a draw exceeds a limit, and whose memory counts towards that limit. `held` is what
-    /// the account would hold.
-    fn excess(&self, holder: Holder, held: usize, bytes: usize) -> Option<(Scope, usize)> {
-        let over_total = (self.drawn + bytes).saturating_sub(self.total);
+    /// the account would hold. What those ahead in the queue wait for counts as drawn.
+    fn excess(
+        &self,
+        id: AccountId,
+        holder: Holder,
+        held: usize,
+        bytes: usize,
+    ) -> Option<(Scope, usize)> {
+        let ahead = |scope| bytes + self.awaited_ahead_of(id, scope);
+        let over_total = (self.drawn + ahead(Scope::All)).saturating_sub(self.total);
         let limit = holder.limit(self.total, held);
-        let over_limit = (self.drawn_by[holder as usize] + bytes).saturating_sub(limit);
+        let drawn = self.drawn_by[holder as usize];
+        let over_limit = (drawn + ahead(Scope::Kind(holder))).saturating_sub(limit);
         if over_limit > 0 {
             Some((Scope::Kind(holder), over_limit))
         } else if over_total > 0 {
@@ -134,6 +154,38 @@
         }
     }
 
+    /// What the accounts that are ahead of this one in the queue wait for.
+    fn awaited_ahead_of(&self, id: AccountId, scope: Scope) -> usize {
+        let ahead = self.waiting.iter().take_while(|waiter| waiter.id != id);
+        let in_scope = ahead.filter(|waiter| scope.includes(waiter.holder));
+        in_scope.map(|waiter| waiter.bytes).sum()
+    }
+
+    fn enqueue(&mut self, id: AccountId, holder: Holder, bytes: usize) {
+        match self.waiting.iter_mut().find(|waiter| waiter.id == id) {
+            Some(waiter) => waiter.bytes = bytes,
+            None => self.waiting.push(Waiter {
+                id,
+                holder,
+                bytes,
+                waker: None,
+            }),
+        }
+    }
+
+    fn stop_waiting(&mut self, id: AccountId) {
+        self.waiting.retain(|waiter| waiter.id != id);
+    }
+
+    /// Wakes all that wait; they draw in the order of the queue.
+    fn wake_waiting(&mut self) {
+        let wakers = self
+            .waiting
+            .iter_mut()
+            .filter_map(|waiter| waiter.waker.take());
+        wakers.for_each(Waker::wake);
+    }
+
     /// What revoked accounts still hold.
     fn being_returned(&self, scope: Scope) -> usize {
         let revoked = self.accounts.values().filter(|account| {
@@ -163,6 +215,7 @@
     }
 
     fn revoke(&mut self, id: AccountId) {
+        self.stop_waiting(id);
         if let Some(account) = self.accounts.get_mut(&id) {
             account.standing = Standing::Revoked;
             self.revoked_count += 1;
@@ -196,11 +249,12 @@
         self.drawn -= bytes;
         self.drawn_by[account.holder as usize] -= bytes;
         if bytes > 0 {
-            self.waiting.drain(..).for_each(Waker::wake);
+            self.wake_waiting();
         }
     }
 
     pub(crate) fn close(&mut self, id: AccountId) {
+        self.stop_waiting(id);
         self.subtract(id, usize::MAX);
         self.accounts.remove(&id);
     }
@@ -232,10 +286,10 @@
         }
     }
 
-    /// Registers a task that is woken when memory is returned.
-    pub(crate) fn wait(&mut self, waker: &Waker) {
-        if !self.waiting.iter().any(|waiting| waiting.will_wake(waker)) {
-            self.waiting.push(waker.clone());
+    /// Registers the task that is woken when memory is returned for which the account waits.
+    pub(crate) fn wait(&mut self, id: AccountId, waker: &Waker) {
+        if let Some(waiter) = self.waiting.iter_mut().find(|waiter| waiter.id == id) {
+            waiter.waker = Some(waker.clone());
         }
     }
 
--- a/crates/memory/tests/budget.rs
+++ b/crates/memory/tests/budget.rs
@@ -2,6 +2,7 @@
 
 use pumiceway_memory::{AccountedBuffer, DrawError, Holder, MemoryAccount, MemoryBudget, Revoked};
 use std::future::Future;
+use std::io::Read;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -197,7 +198,10 @@
         let extended = poll_once(buffer.extend(&[7; 100], || now));
         assert_eq!(extended, Poll::Ready(Ok(())));
     }
-    assert!((10_000..=20_000).contains(&budget.report().drawn));
+    assert!((10_000..=15_000).contains(&budget.report().drawn));
+    let mut content = vec![];
+    buffer.reader().read_to_end(&mut content).unwrap();
+    assert_eq!(content, [7; 10_000]);
     let bytes = buffer.into_bytes(now).unwrap();
     assert_eq!((bytes.len(), budget.report().drawn), (10_000, 10_000));
     let part = bytes.slice(..10);
@@ -225,14 +229,46 @@
 }
 
 #[test]
-fn a_text_made_from_a_buffer_pays_for_itself() {
+fn a_content_made_from_a_buffer_pays_for_itself() {
     let (budget, now) = (MemoryBudget::new(TOTAL), Instant::now());
     let mut buffer = AccountedBuffer::new(budget.open(Holder::Response, now));
     assert!(poll_once(buffer.extend(&[b'x'; 10_000], || now)).is_ready());
-    let text = buffer.replace_by("result".to_owned(), now);
+    let content = buffer.replace_by(b"result".to_vec(), now);
     assert_eq!(budget.report().drawn, "result".len());
-    let bytes = bytes::Bytes::from(text);
+    let bytes = bytes::Bytes::from(content);
     assert_eq!(&bytes[..], b"result");
     drop(bytes);
     assert_eq!(budget.report().drawn, 0);
 }
+
+// Those that come later, and are quicker to try again, must not keep out those that wait.
+#[test]
+fn those_that_wait_are_served_in_turn() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let slow = holding(&budget, Holder::Response, 150_000, start);
+    let now = start + SECOND;
+    let mut first = budget.open(Holder::Response, now);
+    assert_eq!(first.try_draw(100_000, now), Err(DrawError::Waiting));
+    let mut second = budget.open(Holder::Response, now);
+    assert_eq!(second.try_draw(50_000, now), Err(DrawError::Waiting));
+    // There is room for this one, but it would have to come out of what the first waits for.
+    let mut third = budget.open(Holder::Response, now);
+    assert!(third.try_draw(10_000, now).is_err());
+    drop(slow);
+    assert_eq!(second.try_draw(50_000, now), Ok(()));
+    assert_eq!(first.try_draw(100_000, now), Ok(()));
+    assert_eq!(third.try_draw(10_000, now), Ok(()));
+}
+
+#[test]
+fn an_account_that_is_dropped_while_it_waits_leaves_its_turn_to_others() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let slow = holding(&budget, Holder::Response, 150_000, start);
+    let now = start + SECOND;
+    let mut first = budget.open(Holder::Response, now);
+    assert_eq!(first.try_draw(100_000, now), Err(DrawError::Waiting));
+    let mut second = budget.open(Holder::Response, now);
+    assert_eq!(second.try_draw(50_000, now), Err(DrawError::Waiting));
+    drop((slow, first));
+    assert_eq!(second.try_draw(150_000, now), Ok(()));
+}
--- a/crates/net/src/config/mod.rs
+++ b/crates/net/src/config/mod.rs
@@ -6,6 +6,7 @@
 mod address;
 mod error;
 mod gearman;
+mod memory;
 mod platform;
 mod reload;
 mod sockets;
@@ -15,6 +16,8 @@
 pub use address::parse_address;
 pub use error::ConfigError;
 pub use gearman::{Function, GearmanConfig};
+pub(crate) use memory::BYTES_PER_ENDPOINT;
+pub use memory::MemoryLimits;
 pub use pumiceway_core::IdempotencyCacheLimits;
 pub use reload::{Reload, StartupValues};
 pub use sockets::SocketBudget;
@@ -50,6 +53,8 @@
     pub seed: u64,
     /// How file descriptors are divided between clients and endpoints.
     pub socket_budget: SocketBudget,
+    /// How memory is divided.
+    pub memory: MemoryLimits,
     /// The last known endpoint list, with which this dispatcher starts.
     pub bootstrap_list: Option<ListMessage>,
     /// The deployment settings as written in the configuration.
@@ -78,15 +83,15 @@
         limits: ResourceLimits,
     ) -> Result<Config, ConfigError> {
         let settings = deployment.to_settings()?;
+        let sockets = limits.sockets.max(sockets::MIN_SOCKETS);
+        let socket_budget = SocketBudget::divide(sockets, limits.memory_mb);
         Ok(Config {
             name,
             listen,
             discovery: None,
             seed: fastrand::u64(..),
-            socket_budget: SocketBudget::divide(
-                limits.sockets.max(sockets::MIN_SOCKETS),
-                limits.memory_mb,
-            ),
+            socket_budget,
+            memory: MemoryLimits::divide(limits.memory_mb, &socket_budget),
             bootstrap_list: Some(bootstrap_list),
             deployment: Arc::new(deployment),
             settings,
--- a/crates/net/src/config/platform.rs
+++ b/crates/net/src/config/platform.rs
@@ -5,7 +5,9 @@
 
 use super::address::is_host_and_port;
 use super::sockets::check_limits;
-use super::{Config, ConfigError, SocketBudget, StartupValues, parse_address, read_text};
+use super::{
+    Config, ConfigError, MemoryLimits, SocketBudget, StartupValues, parse_address, read_text,
+};
 use crate::discovery::ListMessage;
 use pumiceway_decisions::settings::DeploymentSettings;
 use serde::Deserialize;
@@ -85,6 +87,7 @@
         let limits = document.limits;
         check_limits(limits.sockets, limits.memory_mb)?;
         let settings = document.settings.to_settings()?;
+        let socket_budget = SocketBudget::divide(limits.sockets, limits.memory_mb);
         Ok(Config {
             name: env("ROUTER_NAME")
                 .or(document.name)
@@ -92,7 +95,8 @@
             listen,
             discovery,
             seed,
-            socket_budget: SocketBudget::divide(limits.sockets, limits.memory_mb),
+            socket_budget,
+            memory: MemoryLimits::divide(limits.memory_mb, &socket_budget),
             bootstrap_list: document.bootstrap_list,
             deployment: Arc::new(document.settings),
             settings,
--- a/crates/net/src/config/sockets.rs
+++ b/crates/net/src/config/sockets.rs
@@ -5,11 +5,10 @@
 //! exceed the limit.
 
 use super::ConfigError;
+use super::memory::max_endpoint_connections;
 
 /// Descriptors reserved for other uses: listeners, discovery, standard streams.
 const RESERVED_DESCRIPTORS: usize = 32;
-/// Memory that a client connection may use, in bytes: a request body and the read-ahead buffer.
-const BYTES_PER_CLIENT: usize = 96 << 10;
 /// The lowest limit that leaves a useful number of connections after the reserved descriptors.
 pub(super) const MIN_SOCKETS: usize = 128;
 /// The lowest memory limit at which the process can run, in MiB.
@@ -32,14 +31,13 @@
     /// use `memory_mb` MiB.
     ///
     /// Each request that is served needs a connection to an endpoint, so both sides get the same
-    /// share; the number of client connections is further limited by the memory.
+    /// share; the number of connections to endpoints is further limited by the memory.
     pub(super) fn divide(sockets: usize, memory_mb: u64) -> SocketBudget {
         let available = sockets - RESERVED_DESCRIPTORS;
-        let memory_for_clients = (memory_mb << 20) as usize / 2;
         SocketBudget {
-            inbound: (available * 9 / 20).min(memory_for_clients / BYTES_PER_CLIENT),
+            inbound: available * 9 / 20,
             spare: available / 20,
-            outbound: available * 9 / 20,
+            outbound: (available * 9 / 20).min(max_endpoint_connections(memory_mb)),
         }
     }
 }
--- a/crates/net/src/discovery/call.rs
+++ b/crates/net/src/discovery/call.rs
@@ -9,7 +9,7 @@
 use http_body_util::Empty;
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use pumiceway_decisions::settings::DiscoveryMode;
 use std::time::Duration;
@@ -17,6 +17,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout_at};
 
+/// Limit of what hyper reads ahead, and of the head of a response.
+const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
 /// Timeout of a call to a service that all dispatchers share.
 pub(super) const SERVICE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Timeout of a call to the agent on this machine.
@@ -104,7 +106,10 @@
     let stream = TcpStream::connect(&address).await?;
     // Best effort: a failure only costs latency.
     let _ = stream.set_nodelay(true);
-    let (mut sender, connection) = handshake(TokioIo::new(stream)).await?;
+    let (mut sender, connection) = Builder::new()
+        .max_buf_size(MAX_READ_AHEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await?;
     tokio::spawn(connection);
     let request = Request::get(path)
         .header("Host", &address)
--- a/crates/net/src/discovery/message_decoder.rs
+++ b/crates/net/src/discovery/message_decoder.rs
@@ -1,35 +1,40 @@
-//! Splits the stream of a watch into messages.
+//! Finds the ends of the messages in the stream of a watch.
 //!
 //! A message is either a JSON object or array, which may span several lines, or a single line. An
 //! empty line is a heartbeat. An indented list must not be read line by line, because its lines are
 //! not JSON values on their own.
 
-/// Buffers bytes up to the end of a message. Each byte is examined once, however the stream is
-/// divided into frames.
+/// The position in a message. Each byte is examined once, however the stream is divided into frames.
 #[derive(Default)]
 pub(super) struct MessageDecoder {
-    partial: Vec<u8>,
     /// Nesting depth of open objects and arrays.
     depth: u32,
     in_string: bool,
     after_backslash: bool,
 }
 
-impl MessageDecoder {
-    /// Returns the received part of an incomplete message.
-    pub(super) fn partial(&self) -> &[u8] {
-        &self.partial
-    }
+/// A part of a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct MessagePart<'a> {
+    pub(super) bytes: &'a [u8],
+    /// Whether the message ends with it.
+    pub(super) is_last: bool,
+}
 
-    /// Returns the next complete message and advances `frame` past it. If no message is complete,
-    /// the whole frame is buffered.
-    pub(super) fn next(&mut self, frame: &mut &[u8]) -> Option<Vec<u8>> {
+impl MessageDecoder {
+    /// Takes the part of `frame` that belongs to the current message, and advances `frame` past it.
+    pub(super) fn next<'a>(&mut self, frame: &mut &'a [u8]) -> MessagePart<'a> {
         let last = frame.iter().position(|&byte| self.ends_message(byte));
         let end = last.map_or(frame.len(), |position| position + 1);
-        let (consumed, rest) = frame.split_at(end);
-        self.partial.extend_from_slice(consumed);
+        let (bytes, rest) = frame.split_at(end);
         *frame = rest;
-        last.map(|_| std::mem::take(self).partial)
+        if last.is_some() {
+            *self = MessageDecoder::default();
+        }
+        MessagePart {
+            bytes,
+            is_last: last.is_some(),
+        }
     }
 
     /// Updates the state with a byte and returns whether the message ends with it.
--- a/crates/net/src/discovery/message_decoder/tests.rs
+++ b/crates/net/src/discovery/message_decoder/tests.rs
@@ -5,14 +5,17 @@
 /// Decodes a stream in frames of this length; returns the messages and the incomplete rest.
 fn decode(stream: &[u8], frame_length: usize) -> (Vec<String>, Vec<u8>) {
     let mut decoder = MessageDecoder::default();
-    let mut messages = Vec::new();
+    let (mut messages, mut message) = (Vec::new(), Vec::new());
     for mut frame in stream.chunks(frame_length) {
-        while let Some(message) = decoder.next(&mut frame) {
-            messages.push(String::from_utf8(message).unwrap());
+        while !frame.is_empty() {
+            let part = decoder.next(&mut frame);
+            message.extend_from_slice(part.bytes);
+            if part.is_last {
+                messages.push(String::from_utf8(std::mem::take(&mut message)).unwrap());
+            }
         }
-        assert!(frame.is_empty());
     }
-    (messages, decoder.partial().to_vec())
+    (messages, message)
 }
 
 #[test]
--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -8,11 +8,13 @@
 mod call;
 pub mod call_schedule;
 mod list_message;
+mod list_text;
 mod message_decoder;
 mod watcher;
 pub mod zookeeper;
 
 pub use list_message::{ListMessage, ListedEndpoint, ListedState};
+pub use list_text::ListLimits;
 pub use watcher::DiscoveryWatcher;
 
 use pumiceway_core::{EndpointListUpdate, EndpointSource};
--- a/crates/net/src/discovery/watcher/error.rs
+++ b/crates/net/src/discovery/watcher/error.rs
@@ -2,13 +2,12 @@
 
 use crate::discovery::body::ReadError;
 use crate::discovery::call::CallError;
-
-/// Maximum length of a list or of a message of a watch, in bytes.
-pub(super) const MAX_MESSAGE_BYTES: usize = 4 << 20;
+use crate::discovery::list_text::MAX_MESSAGE_BYTES;
+use pumiceway_memory::Revoked;
 
 /// Why a watch, or the calls that open it, ended.
 #[derive(Debug, thiserror::Error)]
-pub(super) enum WatchError {
+pub(in crate::discovery) enum WatchError {
     /// A call failed.
     #[error(transparent)]
     Call(#[from] CallError),
@@ -24,6 +23,9 @@
     /// The service stays at a version lower than one that it sent before.
     #[error("the service stays at a lower list version than it sent before")]
     Outdated,
+    /// There is no memory for a list.
+    #[error(transparent)]
+    MemoryShort(#[from] Revoked),
     /// The receiver of the updates was dropped.
     #[error("the receiver was dropped")]
     ReceiverDropped,
@@ -31,7 +33,7 @@
 
 /// Why a message cannot be used.
 #[derive(Debug, thiserror::Error)]
-pub(super) enum MalformedMessage {
+pub(in crate::discovery) enum MalformedMessage {
     /// The message is not a list.
     #[error("{}:{}: {error}", error.line(), error.column())]
     Json {
@@ -42,6 +44,9 @@
     /// The message is longer than [`MAX_MESSAGE_BYTES`].
     #[error("message is longer than {MAX_MESSAGE_BYTES} bytes")]
     TooLong,
+    /// The message names more endpoints than the dispatcher can keep.
+    #[error("list names more than {0} endpoints")]
+    TooManyEndpoints(usize),
     /// The message is a delta, but no snapshot has been received.
     #[error("delta received before a snapshot")]
     DeltaWithoutList,
--- a/crates/net/src/discovery/watcher/mod.rs
+++ b/crates/net/src/discovery/watcher/mod.rs
@@ -13,9 +13,10 @@
 use super::call::CallPolicy;
 use super::call_schedule::CallSchedule;
 use super::list_message::ListMessage;
+use super::list_text::{ListLimits, ListText};
 use super::message_decoder::MessageDecoder;
 use super::{SourceUpdate, excerpt};
-use error::{MAX_MESSAGE_BYTES, MalformedMessage, WatchError};
+pub(super) use error::{MalformedMessage, WatchError};
 use pumiceway_core::{EndpointListUpdate, EndpointSource};
 use pumiceway_decisions::rules::LeaseSignal;
 use pumiceway_decisions::settings::DeploymentSettings;
@@ -43,6 +44,8 @@
     /// Once the service has sent only versions below its highest one for this long, they are
     /// accepted.
     pub renumbered_after: Duration,
+    /// What the lists may take.
+    pub limits: ListLimits,
     address: String,
     settings: Arc<DeploymentSettings>,
     /// Whether a reload has changed the address of discovery to `address`.
@@ -67,6 +70,7 @@
         DiscoveryWatcher {
             demand: Arc::default(),
             renumbered_after: RENUMBERED_AFTER,
+            limits: ListLimits::default(),
             address,
             settings,
             address_changed,
@@ -155,15 +159,15 @@
         let response = policy.call(&self.address, "/api/targets").await?;
         let mut body = TimestampedBody::new(response, called_at);
         let deadline = Instant::now() + policy.timeout;
-        let mut text = Vec::new();
+        let mut text = ListText::new(&self.limits);
         while let Some(part) = body.next(deadline).await? {
-            text.extend_from_slice(&part);
-            check_length(&text)?;
+            text.extend(&part).await?;
         }
-        if text.trim_ascii().is_empty() {
+        if text.is_blank() {
             return Ok(());
         }
-        self.on_response_list(&text, called_at).await?;
+        let message = text.parse().await?;
+        self.on_list(message, called_at).await?;
         // No watch is open to send further changes, so this list must not have the lease of a
         // watch.
         let lost = EndpointListUpdate::Lost(LeaseSignal::WatchEnded);
@@ -177,6 +181,7 @@
         mut body: TimestampedBody,
     ) -> Result<Infallible, WatchError> {
         let mut decoder = MessageDecoder::default();
+        let mut message = ListText::new(&self.limits);
         // When the next message began to arrive, and the earliest time at which it can have been
         // written.
         let mut message_started_at = Instant::now();
@@ -196,18 +201,21 @@
             let Some(frame) = frame? else {
                 return Err(WatchError::Ended);
             };
-            if decoder.partial().is_empty() {
+            if message.is_empty() {
                 message_started_at = Instant::now();
                 as_of = read_up_to;
             }
             let mut frame = &frame[..];
-            while let Some(message) = decoder.next(&mut frame) {
-                check_length(&message)?;
-                self.on_watch_message(watch, &message, as_of).await?;
-                message_started_at = Instant::now();
-                as_of = read_up_to;
+            while !frame.is_empty() {
+                let part = decoder.next(&mut frame);
+                message.extend(part.bytes).await?;
+                if part.is_last {
+                    self.on_watch_message(watch, &mut message, as_of).await?;
+                    message.clear();
+                    message_started_at = Instant::now();
+                    as_of = read_up_to;
+                }
             }
-            check_length(decoder.partial())?;
         }
     }
 
@@ -216,10 +224,10 @@
     async fn on_watch_message(
         &mut self,
         watch: &mut Watch,
-        message: &[u8],
+        message: &mut ListText,
         as_of: Instant,
     ) -> Result<(), WatchError> {
-        if message.trim_ascii().is_empty() {
+        if message.is_blank() {
             return self.on_empty_line(watch, as_of).await;
         }
         // The first message may have been composed as early as the call for the watch.
@@ -247,17 +255,14 @@
         Ok(())
     }
 
-    /// Handles the response to a call for the list. `as_of` is the earliest time at which the list
-    /// can have been valid.
-    async fn on_response_list(&mut self, text: &[u8], as_of: Instant) -> Result<(), WatchError> {
-        let list = parse(text)?;
-        self.on_list(list, as_of).await
-    }
-
     /// Handles a snapshot or delta from a watch. `as_of` is the earliest time at which it can have
     /// been valid.
-    async fn on_watch_list(&mut self, text: &[u8], as_of: Instant) -> Result<(), WatchError> {
-        let list = parse(text)?;
+    async fn on_watch_list(
+        &mut self,
+        text: &mut ListText,
+        as_of: Instant,
+    ) -> Result<(), WatchError> {
+        let list = text.parse().await?;
         if !list.snapshot {
             self.check_delta(&list)?;
         }
@@ -277,6 +282,7 @@
         Ok(())
     }
 
+    /// Handles a list. `as_of` is the earliest time at which it can have been valid.
     async fn on_list(&mut self, list: ListMessage, as_of: Instant) -> Result<(), WatchError> {
         self.log_list(&list);
         let is_snapshot = list.snapshot;
@@ -349,14 +355,3 @@
     };
     (open_until, LeaseSignal::WatchEnded)
 }
-
-fn parse(text: &[u8]) -> Result<ListMessage, MalformedMessage> {
-    Ok(serde_json::from_slice(text)?)
-}
-
-fn check_length(message: &[u8]) -> Result<(), MalformedMessage> {
-    if message.len() > MAX_MESSAGE_BYTES {
-        return Err(MalformedMessage::TooLong);
-    }
-    Ok(())
-}
--- a/crates/net/src/event_loop/dispatcher.rs
+++ b/crates/net/src/event_loop/dispatcher.rs
@@ -2,13 +2,14 @@
 
 use super::{Clock, EventLoop, Inputs, SOURCE_CHANNEL_CAPACITY};
 use crate::config::{Config, GearmanConfig, Reload, ZooKeeperConfig};
-use crate::discovery::SourceUpdate;
 use crate::discovery::zookeeper::ZooKeeperSource;
+use crate::discovery::{ListLimits, SourceUpdate};
 use crate::frontend::gearman::workers::{MAX_CLASSES, SessionKinds, WorkerSessions};
 use crate::frontend::gearman::{GearmanFrontend, SPARE_CONNECTIONS};
 use crate::frontend::http::HttpFrontend;
 use crate::frontend::{EventSender, FrontendState};
 use pumiceway_core::{Core, CoreLimits, EndpointSource, Event};
+use pumiceway_memory::MemoryBudget;
 use std::io;
 use std::net::SocketAddr;
 use tokio::net::TcpListener;
@@ -86,7 +87,12 @@
         let (events, messages) = EventSender::new();
         let (close_frontends, closing) = watch::channel(FrontendState::Open);
         let mut frontends = JoinSet::new();
-        let mut limits = CoreLimits::default();
+        let memory = MemoryBudget::new(config.memory.shared);
+        let mut limits = CoreLimits {
+            max_consumed_ids: config.memory.consumed_ids,
+            max_endpoints: config.memory.endpoints,
+            ..CoreLimits::default()
+        };
         let mut workers = None;
         if let Some(GearmanListener {
             config: gearman,
@@ -97,7 +103,13 @@
             let sessions = prepare_gearman(&mut config, &gearman, &events)?;
             workers = Some(sessions.clone());
             let deployment = config.deployment.clone();
-            let frontend = GearmanFrontend::new(events.clone(), deployment, gearman, sessions);
+            let frontend = GearmanFrontend::new(
+                events.clone(),
+                deployment,
+                gearman,
+                sessions,
+                memory.clone(),
+            );
             frontends.spawn(frontend.serve(listener, closing.clone(), move || clock.now()));
         }
         let core = Core::new(config.settings, config.seed, limits).map_err(io::Error::other)?;
@@ -108,6 +120,10 @@
             events.clone(),
             deployment.clone(),
             &config.socket_budget,
+            ListLimits {
+                memory: memory.clone(),
+                max_endpoints: config.memory.endpoints,
+            },
         );
         event_loop.workers = workers;
         event_loop.close_frontends = close_frontends;
@@ -127,6 +143,7 @@
             events: events.clone(),
             settings: deployment,
             ready,
+            memory,
         };
         frontends.spawn(frontend.serve(listener, config.socket_budget, closing));
         spawn_close_notification(frontends, events);
--- a/crates/net/src/event_loop/effects.rs
+++ b/crates/net/src/event_loop/effects.rs
@@ -262,6 +262,7 @@
             self.settings.clone(),
             list_version,
             address_changed,
+            self.lists.clone(),
         );
         if address_changed {
             self.next_watch = Some(watch);
--- a/crates/net/src/event_loop/mod.rs
+++ b/crates/net/src/event_loop/mod.rs
@@ -9,6 +9,8 @@
 mod clock;
 mod dispatcher;
 mod effects;
+mod endpoint_memory;
+mod memory_log;
 mod upstreams;
 mod watch;
 
@@ -16,16 +18,19 @@
 pub use dispatcher::Dispatcher;
 
 use crate::config::{Reload, SocketBudget};
-use crate::discovery::SourceUpdate;
+use crate::discovery::{ListLimits, SourceUpdate};
 use crate::frontend::gearman::workers::WorkerSessions;
 use crate::frontend::{EventSender, FrontendState, LoopMessage};
 use crate::upstream::AttemptConnection;
+use endpoint_memory::EndpointMemory;
+use memory_log::MemoryLog;
 use pumiceway_core::{
     AttemptId, AttemptUpdate, ClientRequest, ClientResponse, Core, Endpoint, EndpointListUpdate,
     EndpointSource, Event, Job, RequestHandle,
 };
 use pumiceway_decisions::api::{ClassId, EndpointId, Timestamp};
 use pumiceway_decisions::settings::DeploymentSettings;
+use pumiceway_memory::MemoryBudget;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -75,6 +80,12 @@
     /// The worker sessions, if the Gearman frontend is enabled.
     workers: Option<WorkerSessions>,
     upstreams: Upstreams,
+    /// From which all holders of memory draw.
+    memory: MemoryBudget,
+    memory_log: MemoryLog,
+    endpoint_memory: EndpointMemory,
+    /// What endpoint lists may take.
+    lists: ListLimits,
     attempts: HashMap<AttemptId, RunningAttempt>,
     clients: HashMap<RequestHandle, PendingClient>,
     /// Whether the dispatcher reports itself as ready.
@@ -99,12 +110,18 @@
         events: EventSender,
         settings: Arc<DeploymentSettings>,
         sockets: &SocketBudget,
+        lists: ListLimits,
     ) -> EventLoop {
+        let memory = lists.memory.clone();
         EventLoop {
             clock,
             core,
             events,
-            upstreams: Upstreams::new(&settings, sockets),
+            upstreams: Upstreams::new(&settings, sockets, memory.clone()),
+            memory_log: MemoryLog::default(),
+            endpoint_memory: EndpointMemory::new(&memory),
+            memory,
+            lists,
             settings,
             workers: None,
             attempts: HashMap::new(),
@@ -153,6 +170,7 @@
         let mut shutting_down = false;
         let mut batch = Vec::new();
         while !self.exit {
+            self.memory_log.update(&self.memory);
             let timer = self
                 .timer
                 .map(|at| Instant::from_std(self.clock.instant(at)));
@@ -290,10 +308,17 @@
         if let Event::ClientDisconnected { handle } = &event {
             self.clients.remove(handle);
         }
+        let may_change_list = matches!(
+            event,
+            Event::EndpointListUpdated { .. } | Event::PreviousSourceUpdated { .. }
+        );
         let now = self.clock.now();
         for effect in self.core.reduce(now, event) {
             self.execute(effect);
         }
+        if may_change_list {
+            self.endpoint_memory.set_count(self.core.endpoint_count());
+        }
     }
 }
 
--- a/crates/net/src/event_loop/tests.rs
+++ b/crates/net/src/event_loop/tests.rs
@@ -27,6 +27,7 @@
         events,
         config.deployment.clone(),
         &config.socket_budget,
+        ListLimits::default(),
     );
     let list = config.bootstrap_list.unwrap();
     event_loop.process_event(Event::EndpointListUpdated {
--- a/crates/net/src/event_loop/tests/sockets.rs
+++ b/crates/net/src/event_loop/tests/sockets.rs
@@ -29,7 +29,8 @@
     };
     let (events, messages) = EventSender::new();
     let core = Core::new(settings.to_settings().unwrap(), 7, CoreLimits::default()).unwrap();
-    let mut event_loop = EventLoop::new(Clock::start(), core, events, settings, &sockets);
+    let lists = ListLimits::default();
+    let mut event_loop = EventLoop::new(Clock::start(), core, events, settings, &sockets, lists);
     let endpoints = endpoints
         .iter()
         .enumerate()
--- a/crates/net/src/event_loop/upstreams.rs
+++ b/crates/net/src/event_loop/upstreams.rs
@@ -4,6 +4,7 @@
 use crate::upstream::{PoolSettings, UpstreamClient};
 use pumiceway_decisions::api::{EndpointId, Timestamp};
 use pumiceway_decisions::settings::DeploymentSettings;
+use pumiceway_memory::MemoryBudget;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use tokio::sync::Semaphore;
@@ -19,6 +20,8 @@
     /// Holds one permit per socket to an endpoint.
     sockets: Arc<Semaphore>,
     max_sockets: usize,
+    /// From which responses draw their memory.
+    memory: MemoryBudget,
 }
 
 struct PooledClient {
@@ -27,12 +30,17 @@
 }
 
 impl Upstreams {
-    pub(super) fn new(settings: &DeploymentSettings, sockets: &SocketBudget) -> Upstreams {
+    pub(super) fn new(
+        settings: &DeploymentSettings,
+        sockets: &SocketBudget,
+        memory: MemoryBudget,
+    ) -> Upstreams {
         Upstreams {
             pool: PoolSettings::new(settings, sockets),
             clients: HashMap::new(),
             sockets: Arc::new(Semaphore::new(sockets.outbound)),
             max_sockets: sockets.outbound,
+            memory,
         }
     }
 
@@ -65,9 +73,10 @@
             pool,
             clients,
             sockets,
+            memory,
             ..
         } = self;
-        let new = || UpstreamClient::new(address, *pool, sockets);
+        let new = || UpstreamClient::new(address, *pool, sockets, memory);
         let pooled = clients.entry(endpoint).or_insert_with(|| PooledClient {
             client: new(),
             last_used_at: now,
--- a/crates/net/src/event_loop/watch.rs
+++ b/crates/net/src/event_loop/watch.rs
@@ -1,7 +1,7 @@
 //! The task that watches a discovery service.
 
 use super::SOURCE_CHANNEL_CAPACITY;
-use crate::discovery::{DiscoveryWatcher, SourceUpdate};
+use crate::discovery::{DiscoveryWatcher, ListLimits, SourceUpdate};
 use pumiceway_decisions::settings::DeploymentSettings;
 use std::sync::Arc;
 use tokio::sync::{Notify, mpsc};
@@ -22,10 +22,12 @@
         settings: Arc<DeploymentSettings>,
         list_version: Option<u64>,
         address_changed: bool,
+        limits: ListLimits,
     ) -> WatchTask {
         let (sender, updates) = mpsc::channel(SOURCE_CHANNEL_CAPACITY);
-        let watcher =
+        let mut watcher =
             DiscoveryWatcher::new(address, settings, list_version, address_changed, sender);
+        watcher.limits = limits;
         let demand = watcher.demand.clone();
         let mut task = JoinSet::new();
         task.spawn(watcher.run());
--- a/crates/net/src/frontend/admission/close.rs
+++ b/crates/net/src/frontend/admission/close.rs
@@ -30,6 +30,8 @@
     TimedOut,
     /// The connection was evicted to admit another one.
     Evicted,
+    /// Memory is short, and the connection had held the most for the longest time.
+    MemoryShort,
     /// The process is shutting down.
     ShuttingDown,
 }
@@ -43,6 +45,7 @@
             EndReason::ExcessBytes => "excess_bytes",
             EndReason::TimedOut => "timed_out",
             EndReason::Evicted => "evicted",
+            EndReason::MemoryShort => "memory_short",
             EndReason::ShuttingDown => "shutting_down",
         }
     }
@@ -106,6 +109,7 @@
     final_response: Option<FinalResponse>,
 ) {
     connection.enter(ConnectionPhase::Closing);
+    connection.return_buffers();
     let socket = SockRef::from(stream);
     if let Some(response) = final_response {
         // Written directly, because tokio may not know yet that the socket is writable. A failed
--- a/crates/net/src/frontend/admission/connection.rs
+++ b/crates/net/src/frontend/admission/connection.rs
@@ -15,8 +15,11 @@
 use super::framing::{FramingError, MessageFraming};
 use super::phase::{ConnectionPhase, REQUEST_TIMEOUT};
 use super::unread::read_unreported;
+use pumiceway_memory::{MemoryAccount, Revoked};
+use std::future::poll_fn;
 use std::io;
 use std::sync::{Mutex, MutexGuard};
+use std::task::{Context, Poll};
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -24,6 +27,12 @@
 
 /// Limit of the bytes outside of requests that are discarded; beyond it the connection is closed.
 const MAX_DISCARDED_BYTES: usize = 4 << 20;
+/// What a connection takes without the HTTP parser.
+const CONNECTION_BYTES: usize = 4 << 10;
+/// What the buffers of the HTTP parser take once bytes were received, and what they take once a
+/// request has not been received in one read.
+const BUFFER_BYTES: usize = 16 << 10;
+const GROWN_BUFFER_BYTES: usize = 24 << 10;
 /// The start of an interim response, which the parser writes to ask for a body.
 const INTERIM_STATUS: &[u8] = b"HTTP/1.1 100 ";
 
@@ -48,11 +57,14 @@
     message: MessageFraming,
     /// Bytes that were read from the socket and not passed to the HTTP parser yet.
     read_ahead: Vec<u8>,
+    /// What the connection and the buffers of the HTTP parser take. It may be revoked while no
+    /// complete request waits for its response.
+    memory: MemoryAccount,
 }
 
 impl ConnectionState {
     fn is_evicted(&self) -> bool {
-        self.eviction > Eviction::None
+        self.eviction > Eviction::None || self.memory.is_revoked()
     }
 
     /// Whether no request has begun on the connection since the last response.
@@ -64,11 +76,30 @@
     fn enter(&mut self, phase: ConnectionPhase) {
         self.phase = phase;
         self.since = Instant::now();
+        if phase.may_be_given_up() {
+            self.memory.unsettle(self.since.into_std());
+        } else {
+            // One that is revoked already ends after its response.
+            let _ = self.memory.settle(self.since.into_std());
+        }
+    }
+
+    /// What the connection has to draw before it may read.
+    fn missing_buffer_bytes(&self) -> usize {
+        let buffers = if self.message.is_empty() {
+            BUFFER_BYTES
+        } else {
+            GROWN_BUFFER_BYTES
+        };
+        (CONNECTION_BYTES + buffers).saturating_sub(self.memory.held())
     }
 }
 
 impl ClientConnection {
-    pub(super) fn new(now: Instant) -> ClientConnection {
+    pub(super) fn new(now: Instant, mut memory: MemoryAccount) -> ClientConnection {
+        // The number of connections bounds these.
+        memory.draw_settled(CONNECTION_BYTES, now.into_std());
+        memory.unsettle(now.into_std());
         ClientConnection {
             state: Mutex::new(ConnectionState {
                 phase: ConnectionPhase::FirstRequest,
@@ -79,6 +110,7 @@
                 discarded_bytes: 0,
                 message: MessageFraming::default(),
                 read_ahead: Vec::new(),
+                memory,
             }),
             eviction_changed: Notify::new(),
         }
@@ -132,6 +164,24 @@
         self.enter(ConnectionPhase::WritingResponse);
     }
 
+    /// Draws what the buffers of the HTTP parser need for the next read.
+    pub(super) fn poll_draw_buffers(&self, cx: &mut Context<'_>) -> Poll<Result<(), Revoked>> {
+        let mut state = self.state();
+        match state.missing_buffer_bytes() {
+            0 => Poll::Ready(Ok(())),
+            missing => state
+                .memory
+                .poll_draw(missing, std::time::Instant::now(), cx),
+        }
+    }
+
+    /// Returns what the buffers of the HTTP parser took, after it was dropped.
+    pub(super) fn return_buffers(&self) {
+        let mut state = self.state();
+        let buffers = state.memory.held().saturating_sub(CONNECTION_BYTES);
+        state.memory.give_back(buffers);
+    }
+
     /// Records bytes that the HTTP parser writes. While a request is incomplete, these are its own
     /// response to a request that it cannot read, or an interim response.
     pub(super) fn written(&self, bytes: &[u8]) {
@@ -240,6 +290,11 @@
         !state.read_ahead.is_empty()
     }
 
+    /// Whether bytes were read ahead.
+    pub fn has_read_ahead(&self) -> bool {
+        !self.state().read_ahead.is_empty()
+    }
+
     /// Moves bytes that were read ahead to the parser's buffer. Returns whether there are any.
     pub(super) fn take_read_ahead(&self, buffer: &mut ReadBuf<'_>) -> bool {
         let mut state = self.state();
@@ -255,7 +310,10 @@
     pub fn due_end(&self) -> Option<EndReason> {
         let state = self.state();
         let is_receiving = state.phase.is_receiving_request();
-        if state.is_evicted() && (is_receiving || state.is_unused()) {
+        let may_be_given_up = is_receiving || state.is_unused();
+        if state.memory.is_revoked() && may_be_given_up {
+            Some(EndReason::MemoryShort)
+        } else if state.is_evicted() && may_be_given_up {
             Some(EndReason::Evicted)
         } else if state.respond_by.is_some() && state.is_unused() {
             Some(EndReason::ShuttingDown)
@@ -280,9 +338,12 @@
         state.discarded_bytes > 0 || state.message.has_excess(body_bytes)
     }
 
-    /// Waits until the connection is evicted to admit another one.
+    /// Waits until the connection is evicted to admit another one, or its memory is revoked.
     pub async fn eviction_requested(&self) {
-        self.wait_for_eviction(Eviction::Graceful).await;
+        tokio::select! {
+            () = self.wait_for_eviction(Eviction::Graceful) => {}
+            Revoked = poll_fn(|cx| self.state().memory.poll_revoked(cx)) => {}
+        }
     }
 
     pub(super) async fn wait_for_eviction(&self, eviction: Eviction) {
@@ -310,7 +371,9 @@
             EndReason::Malformed => Some(FinalResponse::BadRequest),
             EndReason::TimedOut if state.message.is_empty() => None,
             EndReason::TimedOut => Some(FinalResponse::RequestTimeout),
-            EndReason::Evicted | EndReason::ShuttingDown => Some(FinalResponse::Overloaded),
+            EndReason::Evicted | EndReason::MemoryShort | EndReason::ShuttingDown => {
+                Some(FinalResponse::Overloaded)
+            }
             EndReason::Completed | EndReason::ExcessBytes => None,
         }
     }
--- a/crates/net/src/frontend/admission/permits.rs
+++ b/crates/net/src/frontend/admission/permits.rs
@@ -7,6 +7,7 @@
 
 use super::connection::ClientConnection;
 use super::eviction::Eviction;
+use pumiceway_memory::{Holder, MemoryBudget};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use tokio::time::Instant;
@@ -15,6 +16,7 @@
 pub struct Admission {
     max_served: usize,
     spare: usize,
+    memory: MemoryBudget,
     table: Mutex<PermitTable>,
 }
 
@@ -81,11 +83,12 @@
 
 impl Admission {
     /// Creates permits for `max_served` connections, and for `spare` more that get only overload
-    /// responses.
-    pub fn new(max_served: usize, spare: usize) -> Arc<Admission> {
+    /// responses. The connections draw their memory from this budget.
+    pub fn new(max_served: usize, spare: usize, memory: MemoryBudget) -> Arc<Admission> {
         Arc::new(Admission {
             max_served,
             spare,
+            memory,
             table: Mutex::default(),
         })
     }
@@ -111,7 +114,8 @@
         }
         let decision = self.decision(table.admitted.len());
         let id = table.next_id();
-        let connection = Arc::new(ClientConnection::new(now));
+        let account = self.memory.open(Holder::Connection, now.into_std());
+        let connection = Arc::new(ClientConnection::new(now, account));
         if decision == AdmissionDecision::Rejected {
             table.linger(id, connection.clone(), self.spare);
         } else {
--- a/crates/net/src/frontend/admission/phase.rs
+++ b/crates/net/src/frontend/admission/phase.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Whether a connection in this phase may be closed, with an error if a request has begun.
+    pub(super) fn may_be_given_up(self) -> bool {
+        self == ConnectionPhase::Idle || self.is_receiving_request()
+    }
+
     pub(super) fn is_receiving_request(self) -> bool {
         matches!(
             self,
--- a/crates/net/src/frontend/admission/stream.rs
+++ b/crates/net/src/frontend/admission/stream.rs
@@ -9,6 +9,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Limit of the bytes of one read, which is less than the parser's buffer holds at first.
+const MAX_READ_BYTES: usize = 4 << 10;
+
 /// A stream that records the reads and writes of the HTTP parser in the state of its connection.
 pub struct InspectedStream {
     stream: Arc<TcpStream>,
@@ -21,16 +24,23 @@
         InspectedStream { stream, connection }
     }
 
-    fn poll_read_with(
+    /// Reads a part of what has arrived. The buffer of the parser grows while reads fill it.
+    fn poll_read_part(
         &self,
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let mut part = [0; MAX_READ_BYTES];
+        let length = buffer.remaining().min(MAX_READ_BYTES);
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read_buf(buffer) {
+            match self.stream.try_read(&mut part[..length]) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                read => return Poll::Ready(read.map(drop)),
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(length) => {
+                    buffer.put_slice(&part[..length]);
+                    return Poll::Ready(Ok(()));
+                }
             }
         }
     }
@@ -61,7 +71,12 @@
         }
         let filled = buffer.filled().len();
         if !self.connection.take_read_ahead(buffer) {
-            ready!(self.poll_read_with(cx, buffer))?;
+            ready!(self.stream.poll_read_ready(cx))?;
+            if ready!(self.connection.poll_draw_buffers(cx)).is_err() {
+                // The task that serves the connection ends it now.
+                return Poll::Pending;
+            }
+            ready!(self.poll_read_part(cx, buffer))?;
         }
         self.connection.received(&buffer.filled()[filled..]);
         Poll::Ready(Ok(()))
--- a/crates/net/src/frontend/admission/tests.rs
+++ b/crates/net/src/frontend/admission/tests.rs
@@ -3,6 +3,7 @@
 use super::framing::MessageFraming;
 use super::phase::ConnectionPhase;
 use super::*;
+use pumiceway_memory::MemoryBudget;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -75,7 +76,10 @@
 // A connection whose request waits for a response, or has only just begun, must not be evicted.
 #[test]
 fn connections_without_a_request_are_evicted_for_new_ones() {
-    let (admission, start) = (Admission::new(3, 1), Instant::now());
+    let (admission, start) = (
+        Admission::new(3, 1, MemoryBudget::new(1 << 20)),
+        Instant::now(),
+    );
     let at = |ms| start + Duration::from_millis(ms);
     let silent = admission.admit(at(1));
     let awaiting_response = admission.admit(at(0));
--- a/crates/net/src/frontend/gearman/connection/tests.rs
+++ b/crates/net/src/frontend/gearman/connection/tests.rs
@@ -8,6 +8,7 @@
 use crate::frontend::{EventSender, FrontendState, LoopMessage};
 use pumiceway_core::{ClientResponse, IdempotencyCacheLimits};
 use pumiceway_decisions::api::ClassId;
+use pumiceway_memory::MemoryBudget;
 use pumiceway_test_support::SETTINGS;
 use std::io::{Read, Write};
 use tokio::sync::watch;
@@ -45,7 +46,8 @@
         functions: [("rate-push".to_owned(), function)].into(),
     };
     let workers = WorkerSessions::new(events.clone(), kinds, true);
-    GearmanFrontend::new(events.clone(), config.deployment, gearman, workers)
+    let memory = MemoryBudget::new(1 << 20);
+    GearmanFrontend::new(events.clone(), config.deployment, gearman, workers, memory)
 }
 
 /// A client, and its connection on the side of the frontend.
@@ -93,7 +95,7 @@
 async fn received_by_client(packets: Vec<u8>, trouble: Trouble) -> Vec<u8> {
     let (events, mut messages) = EventSender::new();
     let frontend = frontend(&events);
-    let admission = Admission::new(1, 1);
+    let admission = Admission::new(1, 1, MemoryBudget::new(1 << 20));
     let permit = admission.admit(Instant::now());
     tokio::time::advance(EVICTABLE_AFTER).await;
     let (close, closing) = watch::channel(FrontendState::Open);
@@ -213,7 +215,7 @@
     for part in [1, job.len() - 1, job.len()] {
         let (events, mut messages) = EventSender::new();
         let frontend = frontend(&events);
-        let permit = Admission::new(1, 1).admit(Instant::now());
+        let permit = Admission::new(1, 1, MemoryBudget::new(1 << 20)).admit(Instant::now());
         let (close, closing) = watch::channel(FrontendState::Open);
         let (mut client, accepted) = connect(closing).await;
         let use_connection = async {
--- a/crates/net/src/frontend/gearman/mod.rs
+++ b/crates/net/src/frontend/gearman/mod.rs
@@ -23,6 +23,7 @@
 use connection::{AcceptedConnection, ShutdownGuard};
 use pumiceway_decisions::api::{ClassId, Timestamp};
 use pumiceway_decisions::settings::DeploymentSettings;
+use pumiceway_memory::MemoryBudget;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -61,15 +62,17 @@
     /// Number of jobs in progress, of all clients.
     job_count: Arc<AtomicUsize>,
     statuses: JobStatuses,
+    memory: MemoryBudget,
 }
 
 impl GearmanFrontend {
-    /// Creates a frontend that registers its workers in `workers`.
+    /// Creates a frontend that registers its workers in `workers` and draws memory from `memory`.
     pub fn new(
         events: EventSender,
         settings: Arc<DeploymentSettings>,
         config: GearmanConfig,
         workers: WorkerSessions,
+        memory: MemoryBudget,
     ) -> GearmanFrontend {
         GearmanFrontend {
             events,
@@ -80,6 +83,7 @@
             max_jobs: config.jobs,
             job_count: Arc::default(),
             statuses: JobStatuses::default(),
+            memory,
         }
     }
 
@@ -94,7 +98,7 @@
         // Nothing is sent: the channel closes once every connection has dropped its guard.
         let (shutdown_guard, mut guards) = mpsc::channel(1);
         let mut acceptor = Acceptor {
-            admission: Admission::new(self.max_connections, SPARE_CONNECTIONS),
+            admission: Admission::new(self.max_connections, SPARE_CONNECTIONS, self.memory.clone()),
             frontend: self,
             closing,
             now,
--- a/crates/net/src/frontend/http/connection.rs
+++ b/crates/net/src/frontend/http/connection.rs
@@ -17,6 +17,7 @@
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep_until};
 use tower_service::Service as _;
@@ -60,26 +61,34 @@
     connection: &Arc<ClientConnection>,
     mut closing: CloseSignal,
 ) -> EndReason {
-    let service = service_fn(|request| call(router.clone(), connection.clone(), request));
-    let inspected = InspectedStream::new(stream.clone(), connection.clone());
-    let mut http = pin!(
-        http1::Builder::new()
+    let parser = || {
+        let service = service_fn(|request| call(router.clone(), connection.clone(), request));
+        let inspected = InspectedStream::new(stream.clone(), connection.clone());
+        let connection = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .serve_connection(TokioIo::new(inspected), service)
-    );
+            .serve_connection(TokioIo::new(inspected), service);
+        Box::pin(connection)
+    };
+    // Allocated with the first byte, so that silent connections take little memory.
+    let mut http = None;
     let mut timeout = pin!(sleep_until(connection.phase_deadline()));
     let mut evicted = pin!(connection.eviction_requested());
     let mut closing = pin!(wait_for_close(&mut closing));
     let (mut is_closing, mut is_evicted) = (false, false);
     poll_fn(|cx| {
-        match http.as_mut().poll(cx) {
-            // hyper has already responded to most requests that it cannot read, but not to all.
-            Poll::Ready(Err(error)) if error.is_parse() => {
-                return Poll::Ready(EndReason::Malformed);
+        if http.is_none() && has_input(stream, connection, cx) {
+            http = Some(parser());
+        }
+        if let Some(http) = &mut http {
+            match http.as_mut().poll(cx) {
+                // hyper has already responded to most requests that it cannot read, but not to all.
+                Poll::Ready(Err(error)) if error.is_parse() => {
+                    return Poll::Ready(EndReason::Malformed);
+                }
+                // All responses were written, or the client can no longer be read from.
+                Poll::Ready(_) => return Poll::Ready(connection.disconnect_reason()),
+                Poll::Pending => {}
             }
-            // All responses were written, or the client can no longer be read from.
-            Poll::Ready(_) => return Poll::Ready(connection.disconnect_reason()),
-            Poll::Pending => {}
         }
         if !is_closing && let Poll::Ready(respond_by) = closing.as_mut().poll(cx) {
             is_closing = true;
@@ -105,6 +114,12 @@
     .await
 }
 
+/// Whether the parser has something to read: bytes, or the end of the stream.
+fn has_input(stream: &TcpStream, connection: &ClientConnection, cx: &mut Context<'_>) -> bool {
+    // Peeks, because a new socket is reported as ready before anything has arrived.
+    connection.has_read_ahead() || stream.poll_peek(cx, &mut ReadBuf::new(&mut [0])).is_ready()
+}
+
 /// Serves one request. Handlers get the connection from the extensions of the request.
 fn call(
     mut router: Router,
--- a/crates/net/src/frontend/http/mod.rs
+++ b/crates/net/src/frontend/http/mod.rs
@@ -13,6 +13,7 @@
 use super::{CloseSignal, EventSender};
 use crate::config::SocketBudget;
 use pumiceway_decisions::settings::DeploymentSettings;
+use pumiceway_memory::MemoryBudget;
 use server::Server;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -29,6 +30,8 @@
     pub settings: Arc<DeploymentSettings>,
     /// Whether requests can be served; reported by the readiness route.
     pub ready: Arc<AtomicBool>,
+    /// From which connections and requests draw their memory.
+    pub memory: MemoryBudget,
 }
 
 impl HttpFrontend {
--- a/crates/net/src/frontend/http/request.rs
+++ b/crates/net/src/frontend/http/request.rs
@@ -4,8 +4,9 @@
 //! an error the connection is closed, because the bytes after an invalid request could be taken for
 //! another request.
 
+use super::HttpFrontend;
 use crate::body::{CollectError, collect};
-use crate::frontend::admission::{ClientConnection, FramingError};
+use crate::frontend::admission::{ClientConnection, FramingError, RETRY_AFTER_SECONDS};
 use axum::extract::Request;
 use axum::http::{HeaderMap, Method, StatusCode, Uri, header};
 use axum::response::{IntoResponse, Response};
@@ -14,8 +15,10 @@
 use pumiceway_core::{ClientRequest, Job};
 use pumiceway_decisions::api::{ClassId, TenantId};
 use pumiceway_decisions::settings::{DeploymentSettings, RepeatSemantics};
+use pumiceway_memory::{AccountedBuffer, Holder, MemoryAccount, Revoked};
+use std::future::poll_fn;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::time::timeout_at;
 
@@ -25,6 +28,8 @@
 const BODY_TIMEOUT_MARGIN: Duration = Duration::from_millis(200);
 /// Longer remaining times are reduced to this limit.
 const MAX_REMAINING_MS: u64 = 24 * 60 * 60 * 1_000;
+/// What an open request takes beside its texts and its body.
+const REQUEST_BYTES: usize = 4 << 10;
 /// Length limit of the id of a request.
 const MAX_ID_BYTES: usize = 64;
 /// Upper limit of the value of a label.
@@ -85,6 +90,9 @@
     /// Reading the body failed.
     #[error("the body can't be read")]
     UnreadableBody(StatusCode),
+    /// Memory is short. A retry is harmless.
+    #[error("not enough memory")]
+    MemoryShort,
     /// Bytes after the body were received.
     #[error("more came than Content-Length says")]
     ExcessBytes,
@@ -98,6 +106,7 @@
             RequestError::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
             RequestError::UnreadableBody(status) => status,
+            RequestError::MemoryShort => StatusCode::SERVICE_UNAVAILABLE,
             RequestError::Framing(_)
             | RequestError::UnknownClass
             | RequestError::ContradictoryClass
@@ -115,17 +124,30 @@
 
 impl From<CollectError> for RequestError {
     fn from(error: CollectError) -> RequestError {
-        RequestError::UnreadableBody(match error {
-            CollectError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            CollectError::Unreadable => StatusCode::BAD_REQUEST,
-        })
+        match error {
+            CollectError::TooLong => RequestError::UnreadableBody(StatusCode::PAYLOAD_TOO_LARGE),
+            CollectError::Unreadable => RequestError::UnreadableBody(StatusCode::BAD_REQUEST),
+            CollectError::MemoryShort => RequestError::MemoryShort,
+        }
+    }
+}
+
+impl From<Revoked> for RequestError {
+    fn from(_: Revoked) -> RequestError {
+        RequestError::MemoryShort
     }
 }
 
 impl IntoResponse for RequestError {
     fn into_response(self) -> Response {
-        let headers = [(header::CONNECTION, "close")];
-        (self.status(), headers, self.to_string()).into_response()
+        let close = (header::CONNECTION, "close");
+        let (status, text) = (self.status(), self.to_string());
+        if self == RequestError::MemoryShort {
+            let retry_after = (header::RETRY_AFTER, RETRY_AFTER_SECONDS);
+            (status, [close, retry_after], text).into_response()
+        } else {
+            (status, [close], text).into_response()
+        }
     }
 }
 
@@ -135,7 +157,7 @@
 ///
 /// Returns an error if the request is invalid or was not received in time.
 pub(super) async fn read_request(
-    settings: &DeploymentSettings,
+    frontend: &HttpFrontend,
     connection: &ClientConnection,
     request: Request,
 ) -> Result<ClientRequest, RequestError> {
@@ -143,11 +165,17 @@
     if request.method() != Method::POST {
         return Err(RequestError::MethodNotAllowed);
     }
-    let head = RequestHead::parse(settings, request.uri(), request.headers())?;
-    let body = read_body(connection, request).await?;
+    let head = RequestHead::parse(&frontend.settings, request.uri(), request.headers())?;
+    let mut account = frontend.memory.open(Holder::Request, Instant::now());
+    draw(&mut account, REQUEST_BYTES + head.text_bytes()).await?;
+    let body = read_body(connection, request, account).await?;
     Ok(head.with_body(body))
 }
 
+async fn draw(account: &mut MemoryAccount, bytes: usize) -> Result<(), Revoked> {
+    poll_fn(|cx| account.poll_draw(bytes, Instant::now(), cx)).await
+}
+
 /// The parsed request line and headers.
 struct RequestHead {
     class: ClassId,
@@ -177,6 +205,12 @@
         })
     }
 
+    /// Length of the texts that are kept with the job.
+    fn text_bytes(&self) -> usize {
+        let key = self.idempotency_key.as_ref();
+        self.path.len() + self.id.len() + key.map_or(0, String::len)
+    }
+
     fn with_body(self, body: Bytes) -> ClientRequest {
         ClientRequest {
             class: self.class,
@@ -317,20 +351,26 @@
 }
 
 /// Reads the body. A body whose declared length exceeds the limit is rejected without reading it.
-async fn read_body(connection: &ClientConnection, request: Request) -> Result<Bytes, RequestError> {
+/// The bytes carry the account of the request for as long as its job is kept.
+async fn read_body(
+    connection: &ClientConnection,
+    request: Request,
+    account: MemoryAccount,
+) -> Result<Bytes, RequestError> {
     let body_bytes = request.body().size_hint().exact();
     if body_bytes.is_some_and(|bytes| bytes > MAX_BODY_BYTES as u64) {
         return Err(RequestError::BodyTooLarge);
     }
     let deadline = connection.request_deadline() - BODY_TIMEOUT_MARGIN;
-    let body = timeout_at(deadline, collect(request.into_body(), MAX_BODY_BYTES))
+    let mut body = AccountedBuffer::new(account);
+    let collected = collect(request.into_body(), MAX_BODY_BYTES, &mut body);
+    timeout_at(deadline, collected)
         .await
-        .map_err(|_| RequestError::BodyTimeout)?
-        .map_err(RequestError::from)?;
+        .map_err(|_| RequestError::BodyTimeout)??;
     if connection.has_excess(body_bytes) {
         return Err(RequestError::ExcessBytes);
     }
-    Ok(body.into())
+    Ok(body.into_bytes(Instant::now())?)
 }
 
 /// Returns the value of a header that must be unique. If it were repeated, an endpoint might use
--- a/crates/net/src/frontend/http/routes.rs
+++ b/crates/net/src/frontend/http/routes.rs
@@ -56,7 +56,7 @@
     request: Request,
 ) -> Result<Response, RequestError> {
     let body_bytes = request.body().size_hint().exact();
-    let request = read_request(&frontend.settings, &connection, request).await?;
+    let request = read_request(&frontend, &connection, request).await?;
     // The connection was evicted while the last bytes of the request were on their way.
     if connection.is_evicted() {
         return Ok(too_many_connections().await.into_response());
--- a/crates/net/src/frontend/http/server.rs
+++ b/crates/net/src/frontend/http/server.rs
@@ -37,8 +37,8 @@
     ) -> Server {
         let (open_connections, all_closed) = mpsc::channel(1);
         Server {
+            admission: Admission::new(sockets.inbound, sockets.spare, frontend.memory.clone()),
             router: routes::router(frontend),
-            admission: Admission::new(sockets.inbound, sockets.spare),
             sockets,
             closing,
             open_connections,
--- a/crates/net/src/upstream/client.rs
+++ b/crates/net/src/upstream/client.rs
@@ -18,6 +18,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use pumiceway_core::{AttemptOutcome, AttemptUpdate, Job};
 use pumiceway_decisions::api::LoadReport;
+use pumiceway_memory::{Holder, MemoryBudget};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Semaphore;
@@ -28,6 +29,9 @@
 /// resolution of the timer.
 pub(super) const WRITE_MARGIN: Duration = Duration::from_millis(25);
 
+/// Limit of what hyper reads ahead on a connection, and of the head of a response.
+const MAX_READ_AHEAD_BYTES: usize = 8 << 10;
+
 /// The hyper client that opens, pools and closes connections to the endpoint.
 pub(super) type HttpClient = Client<Connector, RequestBody>;
 
@@ -59,18 +63,26 @@
     pub(super) address: String,
     connect_timeout: Duration,
     pub(super) health_check_timeout: Duration,
+    /// From which responses draw their memory.
+    pub(super) memory: MemoryBudget,
 }
 
 impl UpstreamClient {
     /// Creates a client for the endpoint at `address`. All clients share the permits of `sockets`,
-    /// one for each open connection.
-    pub fn new(address: &str, pool: PoolSettings, sockets: &Arc<Semaphore>) -> UpstreamClient {
+    /// one for each open connection, and draw the memory of responses from one budget.
+    pub fn new(
+        address: &str,
+        pool: PoolSettings,
+        sockets: &Arc<Semaphore>,
+        memory: &MemoryBudget,
+    ) -> UpstreamClient {
         UpstreamClient {
             pooled: http_client(&pool, pool.max_idle_connections, sockets),
             dedicated: http_client(&pool, 0, sockets),
             address: address.to_owned(),
             connect_timeout: pool.connect_timeout,
             health_check_timeout: pool.health_check_timeout,
+            memory: memory.clone(),
         }
     }
 
@@ -108,6 +120,7 @@
             endpoint: self.address.clone(),
             connection: connection.clone(),
             observer,
+            memory: self.memory.clone(),
         };
         Ok((connection, attempt.run(client, request)))
     }
@@ -149,6 +162,7 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(pool.idle_timeout)
         .pool_max_idle_per_host(max_idle_connections)
+        .http1_max_buf_size(MAX_READ_AHEAD_BYTES)
         .build(Connector {
             connect_timeout: pool.connect_timeout,
             sockets: sockets.clone(),
@@ -161,6 +175,7 @@
     endpoint: String,
     connection: AttemptConnection,
     observer: T,
+    memory: MemoryBudget,
 }
 
 impl<T: AttemptObserver> Attempt<T> {
@@ -179,7 +194,10 @@
     }
 
     async fn read_response(&mut self, mut body: Incoming) {
-        match response::read(&mut body, &self.request_id, &mut self.observer).await {
+        let account = self
+            .memory
+            .open(Holder::Response, Instant::now().into_std());
+        match response::read(&mut body, &self.request_id, &mut self.observer, account).await {
             Ok(end) => {
                 self.connection.report_end(&mut self.observer, end);
                 response::discard_rest(body, &self.connection).await;
--- a/crates/net/src/upstream/health_check.rs
+++ b/crates/net/src/upstream/health_check.rs
@@ -13,6 +13,8 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use pumiceway_decisions::api::{LoadReport, Outcome};
+use pumiceway_memory::{AccountedBuffer, Holder};
+use std::time::Instant;
 use tokio::time::timeout;
 
 const LOAD_REPORT_PATH: &str = "/-/load";
@@ -76,7 +78,7 @@
         let check = CheckConnection(AttemptConnection::new(&mut request));
         *request.body_mut() = RequestBody::new(Bytes::new(), check.0.clone(), None);
         match client.request(request).await {
-            Ok(response) => read_response(response, &check.0).await,
+            Ok(response) => self.read_report(response, &check.0).await,
             Err(error) if error.is_connect() => CheckResult::failed(Outcome::ConnectFailed),
             Err(_) => CheckResult {
                 lost_reused_connection: check.0.has_received_response(),
@@ -84,22 +86,28 @@
             },
         }
     }
-}
 
-async fn read_response(
-    response: Response<Incoming>,
-    connection: &AttemptConnection,
-) -> CheckResult {
-    connection.begin_response();
-    let outcome = outcome_of_head(&response);
-    let report_in_headers = load_report::from_headers(&response);
-    let body = collect(response.into_body(), MAX_REPORT_BYTES).await;
-    connection.end();
-    let report_in_body = body.ok().and_then(|body| load_report::parse(&body));
-    CheckResult {
-        outcome,
-        report: report_in_body.or(report_in_headers),
-        lost_reused_connection: false,
+    async fn read_report(
+        &self,
+        response: Response<Incoming>,
+        connection: &AttemptConnection,
+    ) -> CheckResult {
+        connection.begin_response();
+        let outcome = outcome_of_head(&response);
+        let report_in_headers = load_report::from_headers(&response);
+        let account = self.memory.open(Holder::Response, Instant::now());
+        let mut body = AccountedBuffer::new(account);
+        let collected = collect(response.into_body(), MAX_REPORT_BYTES, &mut body).await;
+        connection.end();
+        let report_in_body = collected.ok().and_then(|()| {
+            let body = body.into_bytes(Instant::now()).ok()?;
+            load_report::parse(&body)
+        });
+        CheckResult {
+            outcome,
+            report: report_in_body.or(report_in_headers),
+            lost_reused_connection: false,
+        }
     }
 }
 
--- a/crates/net/src/upstream/response.rs
+++ b/crates/net/src/upstream/response.rs
@@ -9,12 +9,14 @@
 use super::headers;
 use super::load_report::{self, JsonObject};
 use super::progress_limit::{ProgressLimit, TooManyLines};
+use crate::body::next_frame;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Response, StatusCode};
 use pumiceway_core::{AttemptOutcome, AttemptUpdate};
 use pumiceway_decisions::api::LoadReport;
+use pumiceway_memory::{AccountedBuffer, MemoryAccount, Revoked};
 use serde::Deserialize;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -47,6 +49,9 @@
     /// The body ended before a line with a final state.
     #[error("response body ended without a final line")]
     NoFinalLine,
+    /// Memory is short, and this response had held the most for the longest time.
+    #[error(transparent)]
+    MemoryShort(#[from] Revoked),
     /// The fragments of a line count for more than [`MAX_LINE_BYTES`].
     #[error("response line exceeds the size limit")]
     LineTooLong,
@@ -91,9 +96,12 @@
 }
 
 impl ResponseLine {
-    fn parse(line: &[u8], request_id: &str) -> Result<ResponseLine, ResponseError> {
-        let line: ResponseLine =
-            serde_json::from_slice(line).map_err(ResponseError::MalformedLine)?;
+    fn parse(line: Line<'_>, request_id: &str) -> Result<ResponseLine, ResponseError> {
+        let line: ResponseLine = match line {
+            Line::Whole(line) => serde_json::from_slice(line),
+            Line::Assembled(line) => serde_json::from_reader(line.reader()),
+        }
+        .map_err(ResponseError::MalformedLine)?;
         if line.request_id != request_id {
             return Err(ResponseError::WrongRequest(line.request_id));
         }
@@ -101,7 +109,8 @@
     }
 }
 
-/// Reads a response with status 200 up to its final line, and returns the end of the attempt.
+/// Reads a response with status 200 up to its final line, and returns the end of the attempt. Parts
+/// of lines, and the result, draw their memory from the account.
 ///
 /// # Errors
 ///
@@ -110,72 +119,132 @@
     body: &mut Incoming,
     request_id: &str,
     observer: &mut impl AttemptObserver,
+    account: MemoryAccount,
 ) -> Result<AttemptEnd, ResponseError> {
     let mut reader = ResponseReader {
-        request_id,
-        observer,
-        limit: ProgressLimit::new(Instant::now()),
-        line: Vec::new(),
+        lines: LineReader {
+            request_id,
+            observer,
+            limit: ProgressLimit::new(Instant::now()),
+        },
+        line: AccountedBuffer::new(account),
         counted_bytes: 0,
     };
     loop {
-        let data = next_data(body).await?;
+        let data = next_data(body, &reader.line).await?;
         for fragment in data.split_inclusive(|&byte| byte == b'\n') {
-            if let Some(end) = reader.push(fragment)? {
-                return Ok(end);
+            if let Some(final_line) = reader.push(fragment).await? {
+                return Ok(reader.end(final_line));
             }
         }
     }
 }
 
-async fn next_data(body: &mut Incoming) -> Result<Bytes, ResponseError> {
-    match body.frame().await {
+async fn next_data(body: &mut Incoming, line: &AccountedBuffer) -> Result<Bytes, ResponseError> {
+    match next_frame(body, line).await? {
         Some(Ok(frame)) => Ok(frame.into_data().unwrap_or_default()),
         Some(Err(error)) => Err(ResponseError::Body(error)),
         None => Err(ResponseError::NoFinalLine),
     }
 }
 
-/// Assembles the lines of a response and notifies the observer of updates.
+/// Assembles the lines of a response.
 struct ResponseReader<'a, T> {
-    request_id: &'a str,
-    observer: &'a mut T,
-    limit: ProgressLimit,
+    lines: LineReader<'a, T>,
     /// The received part of the current line.
-    line: Vec<u8>,
+    line: AccountedBuffer,
     /// Sum of the fragments of the current line, each counted with at least [`MIN_FRAGMENT_BYTES`].
     counted_bytes: usize,
 }
 
+/// Reads complete lines and notifies the observer of updates.
+struct LineReader<'a, T> {
+    request_id: &'a str,
+    observer: &'a mut T,
+    limit: ProgressLimit,
+}
+
+/// A complete line.
+#[derive(Clone, Copy)]
+enum Line<'a> {
+    /// It arrived in one fragment.
+    Whole(&'a [u8]),
+    /// It was assembled from fragments.
+    Assembled(&'a AccountedBuffer),
+}
+
+impl Line<'_> {
+    fn is_blank(self) -> bool {
+        let is_visible = |byte: &u8| !byte.is_ascii_whitespace();
+        match self {
+            Line::Whole(line) => !line.iter().any(is_visible),
+            Line::Assembled(line) => !line.any(is_visible),
+        }
+    }
+}
+
+/// The final line of a response.
+struct FinalLine {
+    state: FinalState,
+    report: Option<LoadReport>,
+}
+
+enum FinalState {
+    Completed(String),
+    Other(AttemptOutcome),
+}
+
 impl<T: AttemptObserver> ResponseReader<'_, T> {
-    /// Appends a fragment of a line, which may include its line feed. Returns the end of the
-    /// attempt if the fragment completes the final line.
-    fn push(&mut self, fragment: &[u8]) -> Result<Option<AttemptEnd>, ResponseError> {
-        self.line.extend_from_slice(fragment);
+    /// Appends a fragment of a line, which may include its line feed. Returns the final line if the
+    /// fragment completes it.
+    async fn push(&mut self, fragment: &[u8]) -> Result<Option<FinalLine>, ResponseError> {
         self.counted_bytes += fragment.len().max(MIN_FRAGMENT_BYTES);
         if self.counted_bytes > MAX_LINE_BYTES {
             return Err(ResponseError::LineTooLong);
         }
-        if !fragment.ends_with(b"\n") {
+        let is_complete = fragment.ends_with(b"\n");
+        if is_complete && self.line.is_empty() {
+            let bytes = std::mem::take(&mut self.counted_bytes);
+            return self.lines.read(Line::Whole(fragment), bytes);
+        }
+        self.line.extend(fragment, std::time::Instant::now).await?;
+        if !is_complete {
             return Ok(None);
         }
-        let line = std::mem::take(&mut self.line);
         let bytes = std::mem::take(&mut self.counted_bytes);
-        self.read_line(&line, bytes)
+        let final_line = self.lines.read(Line::Assembled(&self.line), bytes)?;
+        self.line.clear();
+        Ok(final_line)
     }
 
-    fn read_line(
-        &mut self,
-        line: &[u8],
-        bytes: usize,
-    ) -> Result<Option<AttemptEnd>, ResponseError> {
+    /// The end of the attempt. The memory of a result is drawn until its last clone is dropped.
+    fn end(self, final_line: FinalLine) -> AttemptEnd {
+        let outcome = match final_line.state {
+            FinalState::Completed(result) => {
+                let result = self
+                    .line
+                    .replace_by(result.into(), std::time::Instant::now());
+                AttemptOutcome::Served(result.into())
+            }
+            FinalState::Other(outcome) => outcome,
+        };
+        AttemptEnd {
+            outcome,
+            report: final_line.report,
+        }
+    }
+}
+
+impl<T: AttemptObserver> LineReader<'_, T> {
+    /// Reads a line that counts for this many bytes. Returns it if it is the final one.
+    fn read(&mut self, line: Line<'_>, bytes: usize) -> Result<Option<FinalLine>, ResponseError> {
         let now = Instant::now();
-        if line.trim_ascii().is_empty() {
+        if line.is_blank() {
             self.limit.count_line(now, bytes)?;
             return Ok(None);
         }
         let line = ResponseLine::parse(line, self.request_id)?;
-        let outcome = match line.state {
+        let state = match line.state {
             JobState::Started => {
                 self.limit.count_line(now, bytes)?;
                 if self.limit.should_report_start() {
@@ -190,13 +259,13 @@
                 }
                 return Ok(None);
             }
-            JobState::Completed { result } => AttemptOutcome::Served(result.into()),
-            JobState::Failed => AttemptOutcome::Error,
-            JobState::Rejected => AttemptOutcome::Rejected,
-            JobState::Lost => AttemptOutcome::Reset,
+            JobState::Completed { result } => FinalState::Completed(result),
+            JobState::Failed => FinalState::Other(AttemptOutcome::Error),
+            JobState::Rejected => FinalState::Other(AttemptOutcome::Rejected),
+            JobState::Lost => FinalState::Other(AttemptOutcome::Reset),
         };
         let report = line.load.as_ref().map(load_report::from_json);
-        Ok(Some(AttemptEnd { outcome, report }))
+        Ok(Some(FinalLine { state, report }))
     }
 }
 
--- a/crates/net/src/upstream/tests/support.rs
+++ b/crates/net/src/upstream/tests/support.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use pumiceway_core::{AttemptOutcome, AttemptUpdate, Job};
 use pumiceway_decisions::api::LoadReport;
+use pumiceway_memory::MemoryBudget;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::pin::Pin;
@@ -22,6 +23,9 @@
 /// Upper bound of the bytes that the socket buffers of both ends may hold.
 pub(super) const MAX_BUFFERED_BYTES: usize = 32 << 20;
 
+/// The memory budget of a client, which it never exhausts.
+const MEMORY_BYTES: usize = 64 << 20;
+
 /// Pool settings without short timeouts.
 pub(super) const POOL: PoolSettings = PoolSettings {
     connect_timeout: TEST_TIMEOUT,
@@ -49,6 +53,7 @@
         address,
         pool,
         &Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
+        &MemoryBudget::new(MEMORY_BYTES),
     )
 }
 
--- a/crates/net/tests/http_connections/test_frontend.rs
+++ b/crates/net/tests/http_connections/test_frontend.rs
@@ -2,6 +2,7 @@
 
 use crate::sockets::{READINESS_REQUEST, TEST_TIMEOUT, connect, read_head, wait_until};
 use pumiceway_core::{ClientRequest, ClientResponse, Event, RequestHandle};
+use pumiceway_memory::MemoryBudget;
 use pumiceway_net::config::SocketBudget;
 use pumiceway_net::frontend::http::HttpFrontend;
 use pumiceway_net::frontend::{CloseSignal, EventSender, FrontendState, LoopMessage};
@@ -20,6 +21,9 @@
 /// How long after it is closed the frontend must have answered all requests that have begun.
 pub const RESPOND_WITHIN: Duration = Duration::from_millis(1_400);
 
+/// The memory budget of a frontend, which it never exhausts.
+const MEMORY_BYTES: usize = 64 << 20;
+
 /// Closes the frontend.
 pub struct CloseSender(watch::Sender<FrontendState>);
 
@@ -116,6 +120,7 @@
             events,
             settings: Arc::new(serde_json::from_str(settings).unwrap()),
             ready: Arc::new(AtomicBool::new(true)),
+            memory: MemoryBudget::new(MEMORY_BYTES),
         };
         let sockets = SocketBudget {
             inbound,
--- a/crates/net/tests/old_platform_document.rs
+++ b/crates/net/tests/old_platform_document.rs
@@ -115,9 +115,8 @@
     let discovery = config.discovery.as_deref();
     assert_eq!(discovery, Some("discovery.example:8500"));
     assert_eq!(config.seed, 0x8c1f_0000_0000_a5e7);
-    // Memory bounds the clients that are served, descriptors the rest.
     let sockets = SocketBudget {
-        inbound: 341,
+        inbound: 435,
         spare: 48,
         outbound: 435,
     };
@@ -254,7 +253,7 @@
     let config = read(RELOADED);
     assert_eq!(config.seed, 0x17);
     let sockets = SocketBudget {
-        inbound: 341,
+        inbound: 390,
         spare: 43,
         outbound: 390,
     };
--- /dev/null
+++ b/crates/net/tests/resource_limits.rs
@@ -0,0 +1,47 @@
+//! Checks how the descriptors and the memory of the process are divided.
+
+use pumiceway_net::config::Config;
+use pumiceway_test_support::SETTINGS;
+
+/// The target: the process takes at most this share of its memory limit, in percent.
+const MAX_SHARE: usize = 80;
+/// What a connection to an endpoint takes at least.
+const MIN_ENDPOINT_CONNECTION_BYTES: usize = 16 << 10;
+
+fn config(memory_mb: usize, sockets: usize) -> Config {
+    let limits = format!(r#"{{"memory_mb":{memory_mb},"sockets":{sockets}}}"#);
+    let text = format!(r#"{{"listen":"127.0.0.1:0","limits":{limits},"settings":{SETTINGS}}}"#);
+    Config::from_text(&text, "config", |_| None).unwrap()
+}
+
+#[test]
+fn the_parts_of_the_memory_stay_within_its_limit_and_each_is_useful() {
+    for memory_mb in [32, 33, 64, 192, 2_048] {
+        for sockets in [128, 256, 512, 1_024, 65_536] {
+            let config = config(memory_mb, sockets);
+            let memory = config.memory;
+            let connections = config.socket_budget.outbound * MIN_ENDPOINT_CONNECTION_BYTES;
+            let usable = (memory_mb << 20) / 100 * MAX_SHARE;
+            let case = format!("{memory_mb} MB, {sockets} sockets: {memory:?}");
+            assert!(memory.shared + connections < usable, "{case}");
+            assert!(memory.shared * 3 > usable, "{case}");
+            // A list of 3,200 endpoints, some of which are replaced.
+            assert!(memory.endpoints >= 4_000, "{case}");
+            assert!(memory.consumed_ids >= 4_096, "{case}");
+            assert!(memory.cached_results >= 1 << 20, "{case}");
+        }
+    }
+}
+
+#[test]
+fn descriptors_bound_client_connections_and_memory_those_to_endpoints() {
+    for (memory_mb, sockets, inbound, max_outbound) in [
+        (32, 256, 100, 100),
+        (32, 1_024, 446, 300),
+        (192, 1_024, 446, 446),
+    ] {
+        let budget = config(memory_mb, sockets).socket_budget;
+        assert_eq!(budget.inbound, inbound);
+        assert!((max_outbound / 2..=max_outbound).contains(&budget.outbound));
+    }
+}
--- a/crates/pumiceway/tests/common/mod.rs
+++ b/crates/pumiceway/tests/common/mod.rs
@@ -47,8 +47,13 @@
 impl Process {
     /// Starts the program with this configuration, and waits until it listens.
     pub fn start(config: &Path, gearman: &Path) -> Process {
+        Process::start_build(&program(), config, gearman)
+    }
+
+    /// Starts this build of the program with this configuration, and waits until it listens.
+    pub fn start_build(build: &Path, config: &Path, gearman: &Path) -> Process {
         let arguments = [OsStr::new("--gearman"), gearman.as_os_str()];
-        let (child, line) = serve(&program(), config, &arguments);
+        let (child, line) = serve(build, config, &arguments);
         let line = line.unwrap();
         let [http, gearman] = ["address", "gearman"].map(|name| field(&line, name).unwrap());
         Process {
@@ -58,6 +63,11 @@
         }
     }
 
+    /// Its id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Suspends the process, and waits until it is suspended.
     pub fn suspend(&self) {
         self.signal("-STOP");
--- a/crates/pumiceway/tests/memory.rs
+++ b/crates/pumiceway/tests/memory.rs
@@ -3,16 +3,22 @@
 
 mod common;
 
+use common::{Process, TestFiles, accept_call, release_program, start_worker};
+use pumiceway_test_support::processes::ListDelivery;
 use pumiceway_test_support::processes::crowds::Conduct;
 use pumiceway_test_support::processes::lengthy::LengthyResponse;
+use pumiceway_test_support::processes::memory::MemoryWatch;
 use pumiceway_test_support::processes::pressure::{Pressure, PressureReport};
+use pumiceway_test_support::{Peer, endpoint_line, listing};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
 
 /// The target: a process takes at most this share of its memory limit.
 const MAX_MEMORY_SHARE: f64 = 0.8;
 
 /// Runs the program under pressure, and checks its memory and the responses to sound clients.
 fn run_and_check(pressure: &Pressure) -> PressureReport {
-    let report = pressure.run(&common::release_program());
+    let report = pressure.run(&release_program());
     let limit = pressure.memory_mb << 20;
     let peak = report.memory.peak;
     assert!(
@@ -71,3 +77,56 @@
         ..Pressure::none()
     });
 }
+
+/// The memory limit of a process without one in its configuration.
+const DEFAULT_LIMIT: u64 = 192 << 20;
+/// Lists with ever new names: how many there are, and how many names each has.
+const LISTS: u64 = 30;
+const NAMES_PER_LIST: u64 = 20_000;
+const LIST_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Sends lists with ever new names on one watch after the other.
+fn send_new_names(discovery: &TcpListener, port: u16) {
+    let endpoint = endpoint_line("worker", port, "ready");
+    let mut watch = accept_call(discovery);
+    watch.send("200");
+    for list in 0..LISTS {
+        let version = list + 2;
+        let names = (0..NAMES_PER_LIST)
+            .map(|name| endpoint_line(&format!("n{list}-{name}"), 1, "draining"));
+        let lines: Vec<String> = std::iter::once(endpoint.clone()).chain(names).collect();
+        watch.send(&format!("+ {}", listing(version, false, &lines)));
+        std::thread::sleep(LIST_INTERVAL);
+        if watch.is_closed() {
+            watch = accept_call(discovery);
+            watch.send(&format!(
+                "json {}",
+                listing(version, true, std::slice::from_ref(&endpoint))
+            ));
+            watch = accept_call(discovery);
+            watch.send("200");
+        }
+    }
+}
+
+// Regression test for issue 53: the records of all endpoints that discovery had ever listed, and the
+// parsed lists, were bounded by nothing.
+#[test]
+fn memory_is_bounded_while_discovery_lists_ever_new_names() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (port, _requests) = start_worker();
+    let known = listing(1, true, &[endpoint_line("worker", port, "ready")]);
+    let files = TestFiles::write("names", ListDelivery::Polled, &discovery, &known);
+    let process = Process::start_build(&release_program(), &files.config, &files.gearman);
+    let watch = MemoryWatch::start(process.id(), u64::MAX, || ());
+    send_new_names(&discovery, port);
+    let peak = watch.record().peak;
+    assert!(
+        peak.total as f64 <= MAX_MEMORY_SHARE * DEFAULT_LIMIT as f64,
+        "{peak:?} of {DEFAULT_LIMIT}"
+    );
+    let mut client = Peer::new(TcpStream::connect(&process.http).unwrap());
+    client.send("POST /rate-push/k t1 5000 x");
+    let response = client.read_message().unwrap();
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
--- a/crates/site/src/template.rs
+++ b/crates/site/src/template.rs
@@ -152,7 +152,7 @@
 # waiting = 256         # jobs of all clients that may wait for a worker; the least worth gives way to one more
 # tries = 6             # for a job that may be repeated, or that provably never ran
 # sockets = 1024        # file descriptors that the program may use
-# memory = "192 MiB"    # half of it bounds what connections of clients may hold
+# memory = "192 MiB"    # the process stays within four fifths of it
 
 # A job handed in again with the same identity gets the answer that is kept. Nothing is forgotten early.
 [keep]
