Bound the log in bytes, and quote no more than an excerpt of what peers have sent

Cause: the queue of the log was bounded in lines, 1,024 of them, and an error quoted the line of an endpoint whole, each escaped character up to four times. A text that long also stays in the buffer that formats lines. Change: the queue holds 256 KiB, a line 4 KiB; a longer one is shortened, in JSON replaced by a notice. Errors of responses, of ZooKeeper and of connections are logged as excerpts of 200 characters. Endpoints whose name or address exceeds 256 bytes are left out: the records were reckoned at 1 KiB. Tests: queued_lines_are_limited_in_bytes_while_the_output_is_stalled (400 MB queued before), a_line_that_is_too_long_is_shortened_and_stays_valid. watch_log has a further case, as its long names are now left out for their length: zones of 1 MB.

--- a/crates/logging/src/line_writer.rs
+++ b/crates/logging/src/line_writer.rs
@@ -1,7 +1,8 @@
 //! The writer of the `tracing` layer, which queues each line for the writing thread.
 //!
 //! If lines were dropped since the last one that was written, a notice with their number precedes
-//! the line.
+//! the line. A line that is too long is shortened, or replaced by a notice with its length where a part
+//! of it could not be parsed.
 
 use crate::Format;
 use crate::non_blocking::NonBlocking;
@@ -9,6 +10,9 @@
 use std::io::{self, Write};
 use tracing_subscriber::fmt::MakeWriter;
 
+/// The length limit of a line.
+const MAX_LINE_BYTES: usize = 4 << 10;
+
 /// Makes a [`LineWriter`] for each line.
 pub(crate) struct MakeLineWriter {
     pub(crate) format: Format,
@@ -36,11 +40,11 @@
         } = self.0;
         let dropped = rate_limit.take_dropped() + output.take_dropped();
         if dropped == 0 {
-            output.send(line.to_vec());
+            output.send(limited(*format, line));
             return Ok(line.len());
         }
         let mut lines = dropped_notice(*format, dropped).into_bytes();
-        lines.extend_from_slice(line);
+        lines.extend(limited(*format, line));
         if !output.send(lines) {
             // The notice was dropped as well, so its number is added to that of the next one.
             rate_limit.add_dropped(dropped);
@@ -53,6 +57,24 @@
     }
 }
 
+/// The line, shortened if it is too long.
+fn limited(format: Format, line: &[u8]) -> Vec<u8> {
+    if line.len() <= MAX_LINE_BYTES {
+        return line.to_vec();
+    }
+    let length = line.len();
+    match format {
+        Format::Text => {
+            let start = String::from_utf8_lossy(&line[..MAX_LINE_BYTES]);
+            format!("{start}... ({length} bytes)\n").into_bytes()
+        }
+        Format::Json => {
+            format!("{{\"level\":\"WARN\",\"message\":\"log line too long\",\"bytes\":{length}}}\n")
+                .into_bytes()
+        }
+    }
+}
+
 /// The notice that lines were dropped.
 fn dropped_notice(format: Format, dropped: u64) -> String {
     match format {
--- a/crates/logging/src/non_blocking.rs
+++ b/crates/logging/src/non_blocking.rs
@@ -1,16 +1,19 @@
 //! Output that never blocks the caller, since a separate thread writes the lines.
 //!
 //! Otherwise a terminal that is paused with Ctrl-S, a pipe that is not read or a slow disk would
-//! stall the dispatcher. If the queue is full, lines are dropped and counted.
+//! stall the dispatcher. The queue is limited in lines and in bytes; if it is full, lines are dropped
+//! and counted.
 
 use std::io::Write;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender, SyncSender, TrySendError};
 use std::time::Duration;
 
 /// The number of lines that the queue holds.
 const QUEUE_CAPACITY: usize = 1_024;
+/// The number of bytes that the queued lines may have together.
+const MAX_QUEUED_BYTES: usize = 256 << 10;
 
 enum Message {
     Line(Vec<u8>),
@@ -22,6 +25,8 @@
 #[derive(Clone)]
 pub(crate) struct NonBlocking {
     queue: SyncSender<Message>,
+    /// The number of bytes of the queued lines.
+    queued_bytes: Arc<AtomicUsize>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -34,21 +39,34 @@
     ) -> (NonBlocking, WorkerGuard) {
         let (queue, messages) = mpsc::sync_channel(QUEUE_CAPACITY);
         let (done_sender, done) = mpsc::channel();
-        std::thread::spawn(move || write_lines(output, messages, done_sender));
+        let queued_bytes = Arc::<AtomicUsize>::default();
+        let written_from = queued_bytes.clone();
+        std::thread::spawn(move || write_lines(output, messages, &written_from, done_sender));
         let guard = WorkerGuard {
             queue: queue.clone(),
             done,
             flush_timeout,
         };
         let dropped = Arc::default();
-        (NonBlocking { queue, dropped }, guard)
+        let output = NonBlocking {
+            queue,
+            queued_bytes,
+            dropped,
+        };
+        (output, guard)
     }
 
     /// Queues a line; returns false, and counts it as dropped, if the queue is full.
     pub(crate) fn send(&self, line: Vec<u8>) -> bool {
-        let result = self.queue.try_send(Message::Line(line));
-        let is_full = matches!(result, Err(TrySendError::Full(_)));
+        let length = line.len();
+        let queued = self.queued_bytes.fetch_add(length, Ordering::Relaxed);
+        let is_full = queued + length > MAX_QUEUED_BYTES
+            || matches!(
+                self.queue.try_send(Message::Line(line)),
+                Err(TrySendError::Full(_))
+            );
         if is_full {
+            self.queued_bytes.fetch_sub(length, Ordering::Relaxed);
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         !is_full
@@ -61,10 +79,16 @@
 }
 
 /// Writes the lines of the queue until it is told to stop, then signals `done`.
-fn write_lines(mut output: impl Write, messages: Receiver<Message>, done: Sender<()>) {
+fn write_lines(
+    mut output: impl Write,
+    messages: Receiver<Message>,
+    queued_bytes: &AtomicUsize,
+    done: Sender<()>,
+) {
     while let Ok(Message::Line(line)) = messages.recv() {
         // There is no other place to report that the log cannot be written.
         let _ = output.write_all(&line).and_then(|()| output.flush());
+        queued_bytes.fetch_sub(line.len(), Ordering::Relaxed);
     }
     let _ = done.send(());
 }
--- a/crates/logging/src/tests.rs
+++ b/crates/logging/src/tests.rs
@@ -177,6 +177,47 @@
     drop(log);
 }
 
+// Regression test for issue 53: 1,024 lines could be queued, however long each was.
+#[test]
+fn queued_lines_are_limited_in_bytes_while_the_output_is_stalled() {
+    let (unblock, unblocked) = mpsc::channel::<()>();
+    let (sender, received) = mpsc::channel();
+    let stalled = StalledWriter {
+        is_stalled: true,
+        unblocked,
+        output: ChannelWriter(sender),
+    };
+    let output = NonBlocking::start(stalled, Duration::from_secs(8));
+    let unlimited = RateLimit::new(0.0, 1e9);
+    let (subscriber, log) = build_log(Format::Text, LogFilter::default(), unlimited, output);
+    let reason = "x".repeat(400_000);
+    tracing::subscriber::with_default(subscriber, || {
+        (0..1_000).for_each(|_| tracing::info!(reason, "long line"));
+    });
+    drop(unblock);
+    drop(log);
+    let queued: usize = received.iter().map(|bytes| bytes.len()).sum();
+    assert!((100_000..=300_000).contains(&queued), "{queued}");
+}
+
+#[test]
+fn a_line_that_is_too_long_is_shortened_and_stays_valid() {
+    let reason = "\u{e9}".repeat(100_000);
+    for format in [Format::Text, Format::Json] {
+        let lines = lines_written(format, "info", RateLimit::default(), |_| {
+            tracing::info!(reason, "long line");
+            tracing::info!("short line");
+        });
+        assert_eq!(lines.len(), 2, "{lines:?}");
+        assert!(lines[0].len() < 5_000);
+        assert!(lines[1].contains("short line"));
+        if format == Format::Json {
+            let notice: serde_json::Value = serde_json::from_str(&lines[0]).unwrap();
+            assert!(notice["bytes"].as_u64() > Some(200_000));
+        }
+    }
+}
+
 #[test]
 fn the_filter_can_be_replaced_and_an_error_names_the_levels() {
     let lines = lines_written(
--- a/crates/net/src/discovery/list_message.rs
+++ b/crates/net/src/discovery/list_message.rs
@@ -1,12 +1,15 @@
 //! Endpoint lists in the wire format of discovery.
 
-use super::excerpt;
+use crate::excerpt::excerpt;
 use pumiceway_core::{Endpoint, EndpointAddress};
 use pumiceway_decisions::api::{EndpointState, Timestamp};
 use pumiceway_decisions::settings::DeploymentSettings;
 use serde::Deserialize;
 use tracing::warn;
 
+/// Maximum length of the name or the address of an endpoint, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
 /// A message of discovery: a snapshot of the endpoint list, or a delta to it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 pub struct ListMessage {
@@ -76,8 +79,17 @@
 
 impl ListMessage {
     /// Converts the endpoints to those of the core. Endpoints whose zone or kind the settings do
-    /// not define are skipped.
-    pub fn endpoints(self, settings: &DeploymentSettings) -> Vec<Endpoint> {
+    /// not define, or whose name or address is too long, are skipped.
+    pub fn endpoints(mut self, settings: &DeploymentSettings) -> Vec<Endpoint> {
+        let listed = self.endpoints.len();
+        self.endpoints.retain(|endpoint| !endpoint.is_too_long());
+        let too_long = listed - self.endpoints.len();
+        if too_long > 0 {
+            warn!(
+                count = too_long,
+                "endpoints were left out: their name or address is too long"
+            );
+        }
         let mut skipped = Vec::new();
         let mut endpoints = Vec::with_capacity(self.endpoints.len());
         for listed in self.endpoints {
@@ -98,6 +110,10 @@
 }
 
 impl ListedEndpoint {
+    fn is_too_long(&self) -> bool {
+        self.name.len().max(self.address.len()) > MAX_NAME_BYTES
+    }
+
     /// Converts the endpoint to that of the core; returns its name as the error if the settings do
     /// not define its zone or kind.
     fn endpoint(self, settings: &DeploymentSettings) -> Result<Endpoint, String> {
--- a/crates/net/src/discovery/mod.rs
+++ b/crates/net/src/discovery/mod.rs
@@ -20,9 +20,6 @@
 use pumiceway_core::{EndpointListUpdate, EndpointSource};
 use tokio::time::Instant;
 
-/// Maximum length of a remote text in a log line, in characters.
-const EXCERPT_CHARS: usize = 200;
-
 /// An update of the endpoint list of a source.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SourceUpdate {
@@ -33,8 +30,3 @@
     /// The update.
     pub update: EndpointListUpdate,
 }
-
-/// Truncates a text for the log, because a service may send megabytes of malformed data.
-fn excerpt(text: &str) -> String {
-    text.chars().take(EXCERPT_CHARS).collect()
-}
--- a/crates/net/src/discovery/watcher/mod.rs
+++ b/crates/net/src/discovery/watcher/mod.rs
@@ -9,13 +9,14 @@
 mod versions;
 mod watch;
 
+use super::SourceUpdate;
 use super::body::{ReadError, TimestampedBody};
 use super::call::CallPolicy;
 use super::call_schedule::CallSchedule;
 use super::list_message::ListMessage;
 use super::list_text::{ListLimits, ListText};
 use super::message_decoder::MessageDecoder;
-use super::{SourceUpdate, excerpt};
+use crate::excerpt::excerpt;
 pub(super) use error::{MalformedMessage, WatchError};
 use pumiceway_core::{EndpointListUpdate, EndpointSource};
 use pumiceway_decisions::rules::LeaseSignal;
--- a/crates/net/src/discovery/zookeeper.rs
+++ b/crates/net/src/discovery/zookeeper.rs
@@ -8,6 +8,7 @@
 
 use super::{ListMessage, ListedEndpoint, SourceUpdate};
 use crate::config::ZooKeeperConfig;
+use crate::excerpt::excerpt;
 use pumiceway_core::{EndpointListUpdate, EndpointSource};
 use pumiceway_decisions::rules::LeaseSignal;
 use pumiceway_decisions::settings::DeploymentSettings;
@@ -73,7 +74,10 @@
             if matches!(error, SessionError::ReceiverDropped) {
                 return;
             }
-            warn!(reason = %error, "ZooKeeper session failed");
+            warn!(
+                reason = excerpt(&error.to_string()),
+                "ZooKeeper session failed"
+            );
             if self.send_lost().await.is_err() {
                 return;
             }
@@ -147,7 +151,8 @@
             match parse_node(&name, &data, stat.ctime) {
                 Ok(endpoint) => endpoints.push(endpoint),
                 Err(error) => {
-                    warn!(node, reason = %error, "node was left out: its data cannot be parsed");
+                    let reason = excerpt(&error.to_string());
+                    warn!(node, reason, "node was left out: its data cannot be parsed");
                 }
             }
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod config;
 pub mod discovery;
 pub mod event_loop;
+mod excerpt;
 pub mod frontend;
 pub mod upstream;
--- a/crates/net/src/upstream/failure.rs
+++ b/crates/net/src/upstream/failure.rs
@@ -4,6 +4,7 @@
 //! no byte of the request was written to the connection. In all other cases it may have run.
 
 use super::attempt::AttemptConnection;
+use crate::excerpt::excerpt;
 use hyper_util::client::legacy;
 use pumiceway_core::AttemptOutcome;
 use std::error::Error;
@@ -27,11 +28,12 @@
     }
 }
 
-/// Formats an error and its sources for the log.
+/// Formats an error and its sources for the log, which may quote what the endpoint has sent.
 pub(super) fn describe(error: &dyn Error) -> String {
-    sources(error).fold(error.to_string(), |text, source| {
-        format!("{text}: {source}")
-    })
+    let parts = std::iter::once(error.to_string())
+        .chain(sources(error).map(ToString::to_string))
+        .map(|part| excerpt(&part));
+    parts.collect::<Vec<_>>().join(": ")
 }
 
 fn is_returned_unwritten(error: &(dyn Error + 'static)) -> bool {
--- a/crates/net/src/upstream/response.rs
+++ b/crates/net/src/upstream/response.rs
@@ -10,6 +10,7 @@
 use super::load_report::{self, JsonObject};
 use super::progress_limit::{ProgressLimit, TooManyLines};
 use crate::body::next_frame;
+use crate::excerpt::excerpt;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -61,7 +62,7 @@
     /// A line is not a JSON object with the expected fields.
     #[error("malformed response line")]
     MalformedLine(#[source] serde_json::Error),
-    /// A line has the id of another request.
+    /// A line has the id of another request, of which this is an excerpt.
     #[error("response line has the id of another request, {0:?}")]
     WrongRequest(String),
 }
@@ -103,7 +104,7 @@
         }
         .map_err(ResponseError::MalformedLine)?;
         if line.request_id != request_id {
-            return Err(ResponseError::WrongRequest(line.request_id));
+            return Err(ResponseError::WrongRequest(excerpt(&line.request_id)));
         }
         Ok(line)
     }
--- a/crates/net/tests/watch_log.rs
+++ b/crates/net/tests/watch_log.rs
@@ -63,10 +63,17 @@
         false,
         &vec![line(&long, 1, "ready").replace("\"z\"", "\"y\""); 3],
     );
+    let long_zone = format!("\"{long}\"");
+    let long_zones = listing(
+        2,
+        false,
+        &vec![line("w1", 1, "ready").replace("\"z\"", &long_zone); 2],
+    );
     let endless = format!("{{\"index\":\"{}", "x".repeat(5 << 20));
     let cases = [
         (status, position.as_str()),
         (unknown_zones, "count=3"),
+        (long_zones, "count=2"),
         (endless, "longer than 4194304 bytes"),
         ("[]]".into(), "1:2: invalid"),
     ];
