Idempotency cache: let repeatable responses make room, and bound it by memory

Cause: responses that may be repeated were kept as strictly as imports. Jobs with a unique id went on to their deadline, queued ones too, when their client had left, and counted as running. The entries themselves, of up to 1 KiB of id each, were bounded by nothing but their number. Change: responses to idempotent requests are evicted first, no others. A request with a unique id whose clients have left and that cannot have run ends, and its id may be used again: an attempt that begins after the close would be late by the terms. Entries and results also have limits derived from limits.memory_mb.

--- a/crates/core/src/idempotency_cache.rs
+++ b/crates/core/src/idempotency_cache.rs
@@ -3,7 +3,7 @@
 
 use crate::{ClientResponse, Failure, UniqueId};
 use pumiceway_decisions::api::{RequestId, Timestamp};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Limits of the idempotency cache.
@@ -19,6 +19,8 @@
     pub max_running: usize,
     /// Maximum total size of the cached results in bytes. Default: 16 MiB.
     pub max_bytes: usize,
+    /// Maximum total size of the entries without their results, in bytes. Default: 16 MiB.
+    pub max_entry_bytes: usize,
 }
 
 impl Default for IdempotencyCacheLimits {
@@ -28,6 +30,7 @@
             max_entries: 10_000,
             max_running: 256,
             max_bytes: 16 << 20,
+            max_entry_bytes: 16 << 20,
         }
     }
 }
@@ -45,18 +48,32 @@
     Cached(ClientResponse),
 }
 
-/// Entries by unique id. None is evicted before it expires: while the cache is full, requests with
-/// new unique ids are shed.
+/// What an entry takes beside its unique id, of which there are two copies: a small result included.
+const ENTRY_BYTES: usize = 768;
+
+fn entry_bytes(id: &UniqueId) -> usize {
+    ENTRY_BYTES + 2 * id.0.len()
+}
+
+/// Entries by unique id. While the cache is full, responses to idempotent requests are evicted, those
+/// first that expire first. No other entry is evicted before it expires: if there are only others,
+/// requests with new unique ids are shed.
 pub(crate) struct IdempotencyCache {
     limits: IdempotencyCacheLimits,
     entries: HashMap<UniqueId, Entry>,
-    /// The unique ids of cached responses by expiry time; the insert count makes the keys unique.
-    expiries: BTreeMap<(Timestamp, u64), UniqueId>,
+    /// The unique ids of cached responses by expiry time.
+    expiries: BTreeMap<ExpiryKey, UniqueId>,
+    /// Those of the expiries that are of responses to idempotent requests.
+    evictable: BTreeSet<ExpiryKey>,
     cached_bytes: usize,
+    entry_bytes: usize,
     running: usize,
     insert_count: u64,
 }
 
+/// When a cached response expires, and the insert count, which makes the key unique.
+type ExpiryKey = (Timestamp, u64);
+
 enum Entry {
     Running(RequestId),
     Cached(ClientResponse),
@@ -68,7 +85,9 @@
             limits,
             entries: HashMap::new(),
             expiries: BTreeMap::new(),
+            evictable: BTreeSet::new(),
             cached_bytes: 0,
+            entry_bytes: 0,
             running: 0,
             insert_count: 0,
         }
@@ -77,16 +96,42 @@
     pub(crate) fn look_up(&mut self, now: Timestamp, id: &UniqueId) -> Lookup {
         self.expire(now);
         match self.entries.get(id) {
-            Some(Entry::Running(request)) => Lookup::Running(*request),
-            Some(Entry::Cached(response)) => Lookup::Cached(response.clone()),
-            // No entry is evicted to make room: its request may have run, and could then run again.
-            None if self.is_full() => Lookup::Full,
-            None => Lookup::New,
+            Some(Entry::Running(request)) => return Lookup::Running(*request),
+            Some(Entry::Cached(response)) => return Lookup::Cached(response.clone()),
+            None => {}
+        }
+        if self.make_room(id) {
+            Lookup::New
+        } else {
+            Lookup::Full
         }
     }
 
-    fn is_full(&self) -> bool {
-        self.entries.len() >= self.limits.max_entries || self.running >= self.limits.max_running
+    /// Evicts responses that may be evicted until there is room for another entry. Returns whether
+    /// there is. A request that must not be repeated keeps its entry, as it may have run.
+    fn make_room(&mut self, id: &UniqueId) -> bool {
+        while !self.has_room(id) {
+            let Some(first) = self.evictable.first().copied() else {
+                return false;
+            };
+            self.remove_cached(first);
+        }
+        self.running < self.limits.max_running
+    }
+
+    /// Evicts results of idempotent requests for one that must not be repeated.
+    fn make_room_for_result(&mut self, bytes: usize, is_idempotent: bool) {
+        while !is_idempotent
+            && self.cached_bytes + bytes > self.limits.max_bytes
+            && let Some(first) = self.evictable.first().copied()
+        {
+            self.remove_cached(first);
+        }
+    }
+
+    fn has_room(&self, id: &UniqueId) -> bool {
+        self.entries.len() < self.limits.max_entries
+            && self.entry_bytes + entry_bytes(id) <= self.limits.max_entry_bytes
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -96,16 +141,51 @@
     /// Records that the request of a unique id is running.
     pub(crate) fn begin(&mut self, id: UniqueId, request: RequestId) {
         self.running += 1;
+        self.entry_bytes += entry_bytes(&id);
         self.entries.insert(id, Entry::Running(request));
     }
 
+    /// Removes a running request that has not run.
+    pub(crate) fn forget(&mut self, id: &UniqueId) {
+        if let Some(Entry::Running(_)) = self.entries.get(id) {
+            self.running = self.running.saturating_sub(1);
+            self.remove(id);
+        }
+    }
+
+    fn remove(&mut self, id: &UniqueId) {
+        let Some(entry) = self.entries.remove(id) else {
+            return;
+        };
+        self.entry_bytes -= entry_bytes(id);
+        if let Entry::Cached(ClientResponse::Served(result)) = entry {
+            self.cached_bytes -= result.len();
+        }
+    }
+
+    fn remove_cached(&mut self, key: ExpiryKey) {
+        self.evictable.remove(&key);
+        if let Some(id) = self.expiries.remove(&key) {
+            self.remove(&id);
+        }
+    }
+
     /// Caches the response of a running request. A response after which a retry is harmless is not
     /// cached; a result that does not fit is cached as [`Failure::ResultNotCached`].
-    pub(crate) fn complete(&mut self, now: Timestamp, id: UniqueId, response: &ClientResponse) {
+    pub(crate) fn complete(
+        &mut self,
+        now: Timestamp,
+        id: UniqueId,
+        response: &ClientResponse,
+        is_idempotent: bool,
+    ) {
         self.running = self.running.saturating_sub(1);
+        if let ClientResponse::Served(result) = response {
+            self.make_room_for_result(result.len(), is_idempotent);
+        }
         let cached = match response {
             ClientResponse::Overloaded { .. } | ClientResponse::Rejected(_) => {
-                self.entries.remove(&id);
+                self.remove(&id);
                 return;
             }
             ClientResponse::Served(result)
@@ -120,22 +200,19 @@
             ClientResponse::Failed(_) => response.clone(),
         };
         self.insert_count += 1;
-        self.expiries
-            .insert((now + self.limits.retention, self.insert_count), id.clone());
+        let key = (now + self.limits.retention, self.insert_count);
+        self.expiries.insert(key, id.clone());
+        if is_idempotent {
+            self.evictable.insert(key);
+        }
         self.entries.insert(id, Entry::Cached(cached));
     }
 
     fn expire(&mut self, now: Timestamp) {
-        while let Some(first) = self
-            .expiries
-            .first_entry()
-            .filter(|entry| entry.key().0 <= now)
+        while let Some((&key, _)) = self.expiries.first_key_value()
+            && key.0 <= now
         {
-            if let Some(Entry::Cached(ClientResponse::Served(result))) =
-                self.entries.remove(&first.remove())
-            {
-                self.cached_bytes -= result.len();
-            }
+            self.remove_cached(key);
         }
     }
 }
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -209,8 +209,9 @@
     }
 
     /// Finishes the request once its last client has disconnected: it is not sent again, and the
-    /// balancer cancels its attempts in flight if the settings allow it. With a unique id, it
-    /// continues up to its deadline instead, as a client may still ask for the response by that id.
+    /// balancer cancels its attempts in flight if the settings allow it. With a unique id, a request
+    /// that may have run continues up to its deadline instead, as a client may still ask for the
+    /// response by that id.
     pub(super) fn on_client_disconnected(&mut self, now: Timestamp, handle: RequestHandle) {
         let Some(id) = self.waiting.remove(&handle) else {
             return;
@@ -219,7 +220,11 @@
             return;
         };
         request.handles.retain(|waiting| *waiting != handle);
-        if request.handles.is_empty() && request.unique_id.is_none() && !request.is_done {
+        let continues = request.unique_id.is_some() && request.may_have_run();
+        if request.handles.is_empty() && !continues && !request.is_done {
+            if let Some(unique_id) = &request.unique_id {
+                self.cache.forget(unique_id);
+            }
             self.remember_consumed_id(now, id);
             self.finish_request(id);
             self.notify_balancer(api::Event::ClientDisconnected { request: id });
@@ -258,7 +263,10 @@
             return;
         };
         if let Some(unique_id) = request.unique_id.clone() {
-            self.cache.complete(now, unique_id, response);
+            let class = self.settings.classes.get(request.class.0);
+            let is_idempotent =
+                class.is_some_and(|class| class.idempotency == Idempotency::Idempotent);
+            self.cache.complete(now, unique_id, response, is_idempotent);
         }
         for handle in std::mem::take(&mut request.handles) {
             self.waiting.remove(&handle);
--- a/crates/core/tests/repeats.rs
+++ b/crates/core/tests/repeats.rs
@@ -248,6 +248,7 @@
             max_entries: 2,
             max_running: 2,
             max_bytes: 100,
+            ..IdempotencyCacheLimits::default()
         };
         let limits = CoreLimits {
             cache,
--- a/crates/net/src/config/gearman.rs
+++ b/crates/net/src/config/gearman.rs
@@ -176,6 +176,7 @@
             max_entries: self.kept_answers,
             max_running: self.jobs,
             max_bytes: self.kept_mb << 20,
+            ..IdempotencyCacheLimits::default()
         }
     }
 }
--- a/crates/net/src/config/memory.rs
+++ b/crates/net/src/config/memory.rs
@@ -27,6 +27,7 @@
 /// Consumed ids and cached results may each take one in this many parts of the budget.
 const CONSUMED_IDS_DIVISOR: usize = 8;
 const CACHED_RESULTS_DIVISOR: usize = 4;
+const CACHE_ENTRIES_DIVISOR: usize = 8;
 
 /// How much memory each part of the process may use, in bytes unless stated otherwise.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,6 +40,8 @@
     pub consumed_ids: usize,
     /// Maximum size of the results that are cached.
     pub cached_results: usize,
+    /// Maximum size of the entries of the cache without their results.
+    pub cache_entries: usize,
 }
 
 impl MemoryLimits {
@@ -52,6 +55,7 @@
             endpoints: shared / 100 * ENDPOINTS_SHARE / BYTES_PER_ENDPOINT,
             consumed_ids: shared / CONSUMED_IDS_DIVISOR / BYTES_PER_CONSUMED_ID,
             cached_results: shared / CACHED_RESULTS_DIVISOR,
+            cache_entries: shared / CACHE_ENTRIES_DIVISOR,
         }
     }
 }
--- a/crates/net/src/event_loop/dispatcher.rs
+++ b/crates/net/src/event_loop/dispatcher.rs
@@ -8,7 +8,7 @@
 use crate::frontend::gearman::{GearmanFrontend, SPARE_CONNECTIONS};
 use crate::frontend::http::HttpFrontend;
 use crate::frontend::{EventSender, FrontendState};
-use pumiceway_core::{Core, CoreLimits, EndpointSource, Event};
+use pumiceway_core::{Core, CoreLimits, EndpointSource, Event, IdempotencyCacheLimits};
 use pumiceway_memory::MemoryBudget;
 use std::io;
 use std::net::SocketAddr;
@@ -99,7 +99,14 @@
             listener,
         }) = gearman
         {
-            limits.cache = gearman.cache_limits;
+            limits.cache = IdempotencyCacheLimits {
+                max_bytes: gearman
+                    .cache_limits
+                    .max_bytes
+                    .min(config.memory.cached_results),
+                max_entry_bytes: config.memory.cache_entries,
+                ..gearman.cache_limits
+            };
             let sessions = prepare_gearman(&mut config, &gearman, &events)?;
             workers = Some(sessions.clone());
             let deployment = config.deployment.clone();
--- a/crates/site/src/convert/gearman.rs
+++ b/crates/site/src/convert/gearman.rs
@@ -96,6 +96,7 @@
             max_entries: entries,
             max_running: jobs,
             max_bytes: usize::try_from(keep.bytes.0).unwrap_or(usize::MAX),
+            ..IdempotencyCacheLimits::default()
         },
     })
 }
--- a/crates/site/tests/old_site_file.rs
+++ b/crates/site/tests/old_site_file.rs
@@ -92,6 +92,7 @@
             max_entries: 10_000,
             max_running: 256,
             max_bytes: 16 << 20,
+            ..IdempotencyCacheLimits::default()
         },
         functions: BTreeMap::from([
             ("booking-import".to_owned(), function(0, 20)),
