Gearman: draw memory before reading on, bound what is queued, handle packets in turns

What callers saw: a Gearman client that did not read its echoes took a process with 32 MB to 4.2 GB (85 connections; 226 MB in a second with 40). Cause: an outbox held 1,024 packets of up to 64 KiB; each packet of a worker became an event in the queue of the event loop, which has no limit, and a connection handled as many as it could read without a pause; workloads shared read buffers with other packets; the end of a connection was noticed behind all packets before it. Change: outboxes, unfinished packets, workloads and results draw on the memory budget. Packets are handled in turns of 32, or 32 KiB; then the connection waits until the event loop has caught up. A CAN_DO that changes nothing causes no event. A job that is read after its client has left is not started. A client may have as many jobs in progress as there is still room for.

--- a/crates/net/src/event_loop/mod.rs
+++ b/crates/net/src/event_loop/mod.rs
@@ -238,6 +238,7 @@
             } => {
                 self.on_submitted(handle, request, response, updates);
             }
+            LoopMessage::CaughtUp(answer) => drop(answer.send(())),
             // The receiver may have been dropped.
             LoopMessage::OverviewRequested(response) => drop(response.send(self.core.overview())),
         }
--- a/crates/net/src/frontend/gearman/clients/job.rs
+++ b/crates/net/src/frontend/gearman/clients/job.rs
@@ -21,17 +21,20 @@
 }
 
 impl JobPermit {
-    /// Returns a permit, or `None` if `max_jobs` are in progress already.
+    /// Returns a permit, or `None` if the client of `own_jobs` in progress has its share of
+    /// `max_jobs`: as many as there is still room for, so that one client leaves room for others.
     pub fn acquire(
         job_count: &Arc<AtomicUsize>,
         max_jobs: usize,
+        own_jobs: usize,
         statuses: &JobStatuses,
         handle: &str,
     ) -> Option<JobPermit> {
-        if job_count.fetch_add(1, Ordering::Relaxed) >= max_jobs {
-            job_count.fetch_sub(1, Ordering::Relaxed);
+        let room = max_jobs.saturating_sub(job_count.load(Ordering::Relaxed));
+        if own_jobs >= room {
             return None;
         }
+        job_count.fetch_add(1, Ordering::Relaxed);
         statuses.set(handle, JobStatus::default());
         Some(JobPermit {
             job_count: job_count.clone(),
--- a/crates/net/src/frontend/gearman/clients/mod.rs
+++ b/crates/net/src/frontend/gearman/clients/mod.rs
@@ -23,7 +23,7 @@
 
 /// Denominator of the progress that is sent to clients, in thousandths.
 const PROGRESS_DENOMINATOR: u64 = 1_000;
-/// Retry-After for a job that exceeds the limit of jobs in progress.
+/// Retry-After for a job that exceeds the limit of jobs in progress, or for which there is no memory.
 const TOO_MANY_JOBS_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// The jobs that were submitted on one connection.
@@ -103,18 +103,21 @@
             events,
             ..
         } = self.frontend;
-        let permit = JobPermit::acquire(job_count, *max_jobs, statuses, &handle);
+        let permit = JobPermit::acquire(job_count, *max_jobs, self.tasks.len(), statuses, &handle);
         let sender = JobSender {
             outbox: self.outbox.clone(),
             handle,
             wants_exceptions: self.wants_exceptions,
         };
-        let Some(permit) = permit else {
+        let request = permit.and_then(|permit| {
+            let request = submission.into_request(id, function, self.frontend)?;
+            Some((permit, request))
+        });
+        let Some((permit, request)) = request else {
             return sender.send_response(ClientResponse::Overloaded {
                 retry_after: Some(TOO_MANY_JOBS_RETRY_AFTER),
             });
         };
-        let request = submission.into_request(id, function, self.frontend);
         let (update_sender, updates) = mpsc::unbounded_channel();
         let pending = events.submit(request, Some(update_sender));
         self.tasks.spawn(sender.forward(permit, updates, pending));
--- a/crates/net/src/frontend/gearman/clients/submission.rs
+++ b/crates/net/src/frontend/gearman/clients/submission.rs
@@ -6,8 +6,13 @@
 use bytes::Bytes;
 use pumiceway_core::{ClientRequest, Job, UniqueId};
 use pumiceway_decisions::settings::RepeatSemantics;
+use pumiceway_memory::{AccountedBuffer, Holder, MemoryBudget};
 use std::fmt::Write;
 use std::sync::Arc;
+use std::time::Instant;
+
+/// What an open job takes beside its workload.
+const JOB_BYTES: usize = 4 << 10;
 
 /// A job that a client submits with a `SUBMIT_JOB` packet.
 pub struct Submission {
@@ -61,13 +66,15 @@
         Ok(function)
     }
 
-    /// Converts the job to a request; `id` is a new id for it.
+    /// Converts the job to a request; `id` is a new id for it. Returns `None` if there is no memory
+    /// for it.
     pub fn into_request(
         self,
         id: String,
         function: Function,
         frontend: &GearmanFrontend,
-    ) -> ClientRequest {
+    ) -> Option<ClientRequest> {
+        let body = accounted(&self.workload, &frontend.memory)?;
         let class = &frontend.settings.classes[function.class.0];
         let unique_id =
             Some(self.unique_id).filter(|unique_id| !unique_id.is_empty() && unique_id != "-");
@@ -76,7 +83,7 @@
             .map_or_else(|| id.clone(), percent_encode);
         // Endpoints of such a class detect a repeated job by its idempotency key.
         let idempotency_key = matches!(class.repeats, RepeatSemantics::Keyed).then(|| key.clone());
-        ClientRequest {
+        Some(ClientRequest {
             class: function.class,
             remaining: function.deadline,
             slots: function.slots,
@@ -86,14 +93,28 @@
                 path: format!("/{}/{key}", class.name),
                 id,
                 idempotency_key,
-                body: self.workload,
+                body,
             }),
             // Unique ids are distinct per class. The zero byte cannot occur in a unique id.
             unique_id: unique_id.map(|unique_id| UniqueId(format!("{}\0{unique_id}", class.name))),
-        }
+        })
     }
 }
 
+/// A copy of a workload, which shares its buffer with other packets. The copy, and what else an open
+/// job takes, is drawn until its last clone is dropped; `None` if there is no memory for it.
+fn accounted(workload: &[u8], memory: &MemoryBudget) -> Option<Bytes> {
+    let now = Instant::now();
+    let mut account = memory.open(Holder::Request, now);
+    account.try_draw(JOB_BYTES + workload.len(), now).ok()?;
+    account.give_back(workload.len());
+    Some(
+        AccountedBuffer::new(account)
+            .replace_by(workload.to_vec(), now)
+            .into(),
+    )
+}
+
 /// Encodes a unique id as a segment of a path.
 fn percent_encode(unique_id: &str) -> String {
     let mut segment = String::new();
--- a/crates/net/src/frontend/gearman/codec/packet.rs
+++ b/crates/net/src/frontend/gearman/codec/packet.rs
@@ -90,6 +90,24 @@
     },
 }
 
+impl Packet {
+    /// Length of the data of the packet, beside which it holds only short texts.
+    pub fn data_bytes(&self) -> usize {
+        match self {
+            Packet::SubmitJob { workload, .. } | Packet::JobAssign { workload, .. } => {
+                workload.len()
+            }
+            Packet::WorkComplete { data, .. }
+            | Packet::WorkException { data, .. }
+            | Packet::WorkData { data, .. }
+            | Packet::WorkWarning { data, .. }
+            | Packet::EchoReq { data }
+            | Packet::EchoRes { data } => data.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// The packet types, under their names in the protocol.
 pub(super) mod types {
     pub const CAN_DO: u32 = 1;
--- a/crates/net/src/frontend/gearman/connection.rs
+++ b/crates/net/src/frontend/gearman/connection.rs
@@ -10,6 +10,7 @@
 //!
 //! - the peer does not complete its first packet, or a later one that it has begun, in time;
 //! - the peer sends malformed input;
+//! - memory is short, and an incomplete packet of the peer has held the most for the longest time;
 //! - too many connections are open, and it is evicted before its first packet is complete;
 //! - the dispatcher shuts down and a packet is still incomplete when late requests must have their
 //!   responses.
@@ -19,25 +20,33 @@
 //! - the peer closes it;
 //! - the peer does not read, and its outbox overflows;
 //! - the dispatcher shuts down and nothing that was read is left to answer.
+//!
+//! Packets are handled in turns: after a few of them, the connection waits until the event loop has
+//! handled what they have caused. A peer that sends without pause can thus neither fill the queue of
+//! the event loop nor hold up others.
 
 use super::clients::{ClientJobs, Submission};
-use super::codec::{MAX_WORKLOAD, Malformed, Packet, Received};
+use super::codec::{MAX_WORKLOAD, Packet, Received};
 use super::input::Input;
 use super::input_end::InputEnd;
-use super::outbox::{Outbox, write_messages};
+use super::outbox::Outbox;
 use super::workers::progress_update;
 use super::{GearmanFrontend, admin};
 use crate::frontend::admission::{self, ClientConnection};
 use crate::frontend::{CloseSignal, wait_for_close};
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use pumiceway_core::{AttemptOutcome, AttemptUpdate};
 use pumiceway_decisions::api::Timestamp;
+use pumiceway_memory::{AccountedBuffer, Holder, MemoryAccount};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, interval, sleep_until};
 use tracing::{info, warn};
 
+/// Number of packets, and bytes of their data, that are handled in one turn.
+const MAX_TURN_PACKETS: usize = 32;
+const MAX_TURN_BYTES: usize = 32 << 10;
 /// Interval of the checks for an incomplete packet.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -71,13 +80,19 @@
     let _ = accepted.stream.set_nodelay(true);
     set_keepalive(&accepted.stream);
     let (read_half, write_half) = accepted.stream.into_split();
-    let (outbox, queue) = Outbox::new(&accepted.peer);
-    let writer = tokio::spawn(write_messages(queue, write_half));
+    let account = |holder| -> MemoryAccount {
+        let now = std::time::Instant::now();
+        frontend.memory.open(holder, now)
+    };
+    let (outbox, queue) = Outbox::new(&accepted.peer, account(Holder::Outbox));
+    let writer = tokio::spawn(queue.write(write_half));
+    let deadline = client_connection.phase_deadline();
     let mut connection = Connection {
         frontend,
         session_id: accepted.session_id,
         opened_at: accepted.opened_at,
-        input: Input::new(read_half, client_connection.phase_deadline()),
+        input: Input::new(read_half, account(Holder::Request), deadline),
+        turn: Turn::default(),
         client_jobs: ClientJobs::new(frontend, outbox.clone()),
         outbox,
         shutdown: None,
@@ -121,6 +136,8 @@
     session_id: u64,
     opened_at: Timestamp,
     input: Input,
+    /// What was handled in the current turn.
+    turn: Turn,
     client_jobs: ClientJobs<'a>,
     outbox: Outbox,
     /// The shutdown of the dispatcher, once it has begun.
@@ -128,6 +145,27 @@
     shutdown_guard: Option<ShutdownGuard>,
 }
 
+/// What a connection has handled since it last waited for the event loop.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Turn {
+    packets: usize,
+    bytes: usize,
+}
+
+impl Turn {
+    /// Counts a packet or command.
+    fn count(&mut self, received: &Received) {
+        self.packets += 1;
+        if let Received::Packet(packet) = received {
+            self.bytes += packet.data_bytes();
+        }
+    }
+
+    fn is_over(self) -> bool {
+        self.packets >= MAX_TURN_PACKETS || self.bytes >= MAX_TURN_BYTES
+    }
+}
+
 /// How far the shutdown of the dispatcher has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ShutdownPhase {
@@ -152,11 +190,9 @@
                 received = self.input.next() => {
                     client_connection.request_received();
                     match received {
-                        None | Some(Err(Malformed::Io(_))) => return,
-                        Some(Ok(received)) => self.handle_received(received).await,
-                        Some(Err(malformed)) => {
-                            self.end_input(InputEnd::Malformed(malformed)).await;
-                        }
+                        None => return,
+                        Some(Ok(received)) => self.handle_in_turn(received).await,
+                        Some(Err(end)) => self.end_input(end).await,
                     }
                 }
                 () = self.client_jobs.next_completed() => {}
@@ -248,6 +284,21 @@
         self.outbox.send(Packet::Error { code, text });
     }
 
+    /// Handles a packet or command. At the end of a turn, waits until the event loop has handled what
+    /// the turn has caused.
+    async fn handle_in_turn(&mut self, received: Received) {
+        self.turn.count(&received);
+        let starts_job = matches!(received, Received::Packet(Packet::SubmitJob { .. }));
+        // A job that is read after its client has left is not started.
+        if !(starts_job && self.input.is_closed_by_peer().await) {
+            self.handle_received(received).await;
+        }
+        if self.turn.is_over() {
+            self.turn = Turn::default();
+            self.frontend.events.caught_up().await;
+        }
+    }
+
     async fn handle_received(&mut self, received: Received) {
         match received {
             Received::AdminCommand(line) => {
@@ -275,18 +326,19 @@
                 denominator,
             } => self.job_updated(&handle, progress_update(numerator, denominator)),
             Packet::WorkData { handle, data } => {
-                self.job_updated(&handle, AttemptUpdate::Data(data));
+                self.job_updated(&handle, AttemptUpdate::Data(unshared(&data)));
             }
             // WORK_EXCEPTION does not end the job; the WORK_FAIL that follows it does.
             Packet::WorkWarning { handle, data } | Packet::WorkException { handle, data } => {
-                self.job_updated(&handle, AttemptUpdate::Warning(data));
+                self.job_updated(&handle, AttemptUpdate::Warning(unshared(&data)));
             }
             Packet::WorkComplete { handle, data } if data.len() > MAX_WORKLOAD => {
                 self.send_error("TOO_LARGE", "the result is too large");
                 self.job_ended(&handle, AttemptOutcome::Error);
             }
             Packet::WorkComplete { handle, data } => {
-                self.job_ended(&handle, AttemptOutcome::Served(data));
+                let result = self.accounted_result(&data);
+                self.job_ended(&handle, AttemptOutcome::Served(result));
             }
             Packet::WorkFail { handle } => self.job_ended(&handle, AttemptOutcome::Error),
             Packet::SetClientId { id } => workers.set_client_id(session_id, id),
@@ -312,6 +364,15 @@
         }
     }
 
+    /// The result of a job, whose memory is drawn until its last clone is dropped.
+    fn accounted_result(&self, data: &[u8]) -> Bytes {
+        let now = std::time::Instant::now();
+        let account = self.frontend.memory.open(Holder::Response, now);
+        AccountedBuffer::new(account)
+            .replace_by(data.to_vec(), now)
+            .into()
+    }
+
     fn can_do(&self, function: String) {
         match self.frontend.functions.class(&function) {
             Some(class) => self.frontend.workers.can_do(
@@ -345,6 +406,11 @@
     }
 }
 
+/// A copy of data that shares its buffer with other packets, which may be much larger.
+fn unshared(data: &Bytes) -> Bytes {
+    Bytes::copy_from_slice(data)
+}
+
 /// Waits until packets that have begun are no longer received; forever before the shutdown, and
 /// after that time.
 async fn receiving_ends(shutdown: Option<ShutdownPhase>) {
--- a/crates/net/src/frontend/gearman/input_end.rs
+++ b/crates/net/src/frontend/gearman/input_end.rs
@@ -11,6 +11,9 @@
     /// The peer did not complete a packet in time.
     #[error("no whole packet came in time")]
     PacketTimeout,
+    /// Memory is short, and the peer's unfinished packet had held the most for the longest time.
+    #[error("not enough memory; try again later")]
+    MemoryShort,
     /// Another connection needs the permit.
     #[error("too many connections are open; try again later")]
     TooManyConnections,
@@ -24,6 +27,7 @@
         match self {
             InputEnd::Malformed(_) => "MALFORMED",
             InputEnd::PacketTimeout => "PACKET_TIMEOUT",
+            InputEnd::MemoryShort => "MEMORY_SHORT",
             InputEnd::TooManyConnections => "TOO_MANY_CONNECTIONS",
             InputEnd::ShuttingDown => "SHUTTING_DOWN",
         }
--- a/crates/net/src/frontend/gearman/workers/mod.rs
+++ b/crates/net/src/frontend/gearman/workers/mod.rs
@@ -73,10 +73,13 @@
             let worker = Session::new(outbox.clone(), number, opened_at);
             inner.sessions.insert(session_id, worker);
         }
-        if let Some(worker) = inner.sessions.get_mut(&session_id) {
-            worker.abilities.insert(class.0, function);
+        let previous = inner
+            .sessions
+            .get_mut(&session_id)
+            .and_then(|worker| worker.abilities.insert(class.0, function.clone()));
+        if previous.as_ref() != Some(&function) {
+            inner.update_endpoint(session_id, EndpointState::Ready);
         }
-        inner.update_endpoint(session_id, EndpointState::Ready);
     }
 
     /// `CANT_DO`: removes a function. `RESET_ABILITIES`, if `function` is `None`: removes them all.
--- a/crates/net/src/frontend/mod.rs
+++ b/crates/net/src/frontend/mod.rs
@@ -32,6 +32,8 @@
         /// Receives the progress of attempts, if the client needs it.
         updates: Option<mpsc::UnboundedSender<AttemptUpdate>>,
     },
+    /// Answered once all messages that were sent before it are handled.
+    CaughtUp(oneshot::Sender<()>),
     /// The state of the dispatcher is requested for an operator.
     OverviewRequested(oneshot::Sender<Overview>),
 }
@@ -62,6 +64,14 @@
         let _ = self.messages.send(LoopMessage::Event(event));
     }
 
+    /// Waits until the event loop has handled all messages that were sent before.
+    pub async fn caught_up(&self) {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.messages.send(LoopMessage::CaughtUp(sender));
+        // Fails if the event loop has ended, which then handles nothing more.
+        let _ = receiver.await;
+    }
+
     /// Requests the state of the dispatcher; empty if the event loop has ended.
     pub async fn overview(&self) -> Overview {
         let (sender, receiver) = oneshot::channel();
--- a/crates/pumiceway/tests/common/mod.rs
+++ b/crates/pumiceway/tests/common/mod.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// The address of its Gearman frontend.
+    pub fn gearman(&self) -> &str {
+        &self.gearman
+    }
+
     /// Its id.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -158,6 +163,18 @@
         lists: ListDelivery,
         discovery: &TcpListener,
         bootstrap_list: &str,
+    ) -> TestFiles {
+        let limits = "{}";
+        TestFiles::write_with_limits(name, lists, discovery, bootstrap_list, limits)
+    }
+
+    /// Like [`write`](TestFiles::write), with these limits.
+    pub fn write_with_limits(
+        name: &str,
+        lists: ListDelivery,
+        discovery: &TcpListener,
+        bootstrap_list: &str,
+        limits: &str,
     ) -> TestFiles {
         let file = |suffix: &str, text: String| {
             let name = format!("pumiceway-{}-{name}-{lists:?}.{suffix}", std::process::id());
@@ -168,7 +185,7 @@
         let settings = lists.settings(0, 1);
         let address = discovery.local_addr().unwrap();
         let config = format!(
-            r#"{{"listen":"127.0.0.1:0","discovery":"{address}","known":{bootstrap_list},"settings":{settings}}}"#
+            r#"{{"listen":"127.0.0.1:0","discovery":"{address}","limits":{limits},"known":{bootstrap_list},"settings":{settings}}}"#
         );
         let gearman = "listen = \"127.0.0.1:0\"\n".to_owned();
         TestFiles {
--- a/crates/pumiceway/tests/memory.rs
+++ b/crates/pumiceway/tests/memory.rs
@@ -9,7 +9,8 @@
 use pumiceway_test_support::processes::lengthy::LengthyResponse;
 use pumiceway_test_support::processes::memory::MemoryWatch;
 use pumiceway_test_support::processes::pressure::{Pressure, PressureReport};
-use pumiceway_test_support::{Peer, endpoint_line, listing};
+use pumiceway_test_support::{Peer, encode_packet, endpoint_line, listing};
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -130,3 +131,44 @@
     let response = client.read_message().unwrap();
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
 }
+
+/// The lowest memory limit, in MiB.
+const LOWEST_LIMIT_MB: u64 = 32;
+/// Gearman clients that never read what they are sent, and what each asks for.
+const UNREADING_CLIENTS: usize = 40;
+const ECHOES: usize = 500;
+const ECHO_BYTES: usize = 60_000;
+
+// Regression test for issue 53: what was queued for Gearman peers was bounded in packets, 1,024 of up
+// to 64 KiB for each peer.
+#[test]
+fn memory_is_bounded_while_gearman_clients_do_not_read() {
+    let discovery = TcpListener::bind("127.0.0.1:0").unwrap();
+    let limits = format!(r#"{{"memory_mb":{LOWEST_LIMIT_MB},"sockets":1024}}"#);
+    let known = listing(1, true, &[]);
+    let delivery = ListDelivery::Pushed;
+    let files = TestFiles::write_with_limits("unread", delivery, &discovery, &known, &limits);
+    let process = Process::start_build(&release_program(), &files.config, &files.gearman);
+    let watch = MemoryWatch::start(process.id(), u64::MAX, || ());
+    let packet = encode_packet(&format!("[ECHO_REQ {}]", "x".repeat(ECHO_BYTES)));
+    std::thread::scope(|scope| {
+        for _ in 0..UNREADING_CLIENTS {
+            scope.spawn(|| {
+                let mut stream = TcpStream::connect(process.gearman()).unwrap();
+                stream
+                    .set_write_timeout(Some(Duration::from_secs(1)))
+                    .unwrap();
+                // Until the dispatcher closes the connection, or reads no more.
+                (0..ECHOES)
+                    .take_while(|_| stream.write_all(&packet).is_ok())
+                    .count()
+            });
+        }
+    });
+    let peak = watch.record().peak;
+    let limit = LOWEST_LIMIT_MB << 20;
+    assert!(
+        peak.total as f64 <= MAX_MEMORY_SHARE * limit as f64,
+        "{peak:?} of {limit}"
+    );
+}
--- a/crates/test-support/src/gearman.rs
+++ b/crates/test-support/src/gearman.rs
@@ -10,7 +10,7 @@
 pub(crate) const HEADER_LENGTH: usize = 12;
 const REQUEST_MAGIC: &[u8; 4] = b"\0REQ";
 
-const PACKET_TYPES: [(&str, u32); 27] = [
+const PACKET_TYPES: [(&str, u32); 28] = [
     ("CAN_DO", 1),
     ("CANT_DO", 2),
     ("RESET_ABILITIES", 3),
@@ -31,6 +31,7 @@
     ("ERROR", 19),
     ("STATUS_RES", 20),
     ("SUBMIT_JOB_HIGH", 21),
+    ("SET_CLIENT_ID", 22),
     ("WORK_EXCEPTION", 25),
     ("OPTION_REQ", 26),
     ("OPTION_RES", 27),
@@ -62,7 +63,7 @@
 }
 
 /// Encodes a packet that is sent to the dispatcher.
-pub(crate) fn encode(text: &str) -> Vec<u8> {
+pub fn encode(text: &str) -> Vec<u8> {
     let inside = text.trim_start_matches('[').trim_end_matches(']');
     let (name, arguments) = split_text(inside);
     let body = arguments.replace('|', "\0");
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod processes;
 pub mod scenario;
 
-pub use gearman::run_gearman_echo_worker;
+pub use gearman::{encode as encode_packet, run_gearman_echo_worker};
 pub use listing::{endpoint_line, listing};
 pub use peer::{Peer, serve_each};
 pub use scenario::{SETTINGS, ScenarioRunner};
--- a/crates/test-support/src/processes/dispatcher.rs
+++ b/crates/test-support/src/processes/dispatcher.rs
@@ -4,8 +4,9 @@
 use super::memory::{MemoryRecord, MemoryWatch};
 use super::program::{field, is_ready, serve};
 use super::service::DiscoveryService;
+use super::throttle::send_signal;
 use super::{Conditions, TestFleet};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use std::path::PathBuf;
 use std::process::Child;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -151,6 +152,11 @@
         std::fs::write(&self.config, text).unwrap();
     }
 
+    /// The id of its process, if any.
+    pub fn process(&self) -> Option<u32> {
+        self.child.lock().unwrap().as_ref().map(Child::id)
+    }
+
     /// Sends a signal to its process, if any.
     pub fn signal(&self, signal: Signal) {
         if let Some(child) = &*self.child.lock().unwrap() {
@@ -247,13 +253,6 @@
     }
 }
 
-/// Sends a signal to a process. It may have ended already.
-fn send_signal(process: u32, signal: Signal) {
-    if let Some(process) = Pid::from_raw(process as i32) {
-        let _ = kill_process(process, signal);
-    }
-}
-
 impl Drop for Dispatcher {
     fn drop(&mut self) {
         self.kill();
--- a/crates/test-support/src/processes/faults/injection.rs
+++ b/crates/test-support/src/processes/faults/injection.rs
@@ -6,6 +6,7 @@
 use crate::processes::dispatcher::{Dispatcher, SocketExhaustion};
 use crate::processes::endpoints::{Behavior, ListedStatus};
 use crate::processes::service::{Cost, USUAL_COST};
+use crate::processes::throttle::throttle;
 use rustix::process::Signal;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -14,9 +15,6 @@
 
 /// The time between two moves of discovery in a row.
 const MOVE_INTERVAL: Duration = Duration::from_millis(150);
-/// A dispatcher that is throttled is suspended and runs for these times in turn.
-const THROTTLE_SUSPENDED: Duration = Duration::from_millis(15);
-const THROTTLE_RUNNING: Duration = Duration::from_millis(5);
 /// The number of idle connections that exhaust the sockets of a dispatcher, as a multiple of its
 /// socket limit.
 const CONNECTIONS_PER_SOCKET: usize = 2;
@@ -141,7 +139,7 @@
         Fault::Throttle {
             dispatcher,
             duration,
-        } => throttle(&fleet.dispatchers[dispatcher], duration),
+        } => throttle_process(&fleet.dispatchers[dispatcher], duration),
         Fault::DisconnectBurst { duration } => {
             fleet.disconnect_burst.store(true, Ordering::Relaxed);
             std::thread::sleep(duration);
@@ -158,13 +156,12 @@
     crowds::run(conduct, connections, &name, address, is_over);
 }
 
-fn throttle(dispatcher: &Dispatcher, duration: Duration) {
+fn throttle_process(dispatcher: &Dispatcher, duration: Duration) {
     let until = Instant::now() + duration;
-    while Instant::now() < until {
-        dispatcher.signal(Signal::STOP);
-        std::thread::sleep(THROTTLE_SUSPENDED);
-        dispatcher.signal(Signal::CONT);
-        std::thread::sleep(THROTTLE_RUNNING);
+    if let Some(process) = dispatcher.process() {
+        // A process that has ended has no successor with the same id.
+        let is_over = || Instant::now() >= until || dispatcher.process() != Some(process);
+        throttle(process, is_over);
     }
 }
 
--- a/crates/test-support/src/processes/mod.rs
+++ b/crates/test-support/src/processes/mod.rs
@@ -22,6 +22,7 @@
 pub mod rule_checker;
 pub mod service;
 mod test_fleet;
+pub mod throttle;
 
 pub use conditions::{Conditions, ListDelivery};
 pub use dispatcher::{Dispatcher, ProcessRun, SocketExhaustion};
