Reject limits that no machine has, and bound the threads that look up host names

Change: both have an upper bound with an error that names the key, 1 TiB and 1,048,576. Host names are looked up by 4 threads at most; 512 of them would have taken memory that nothing reckons with. Test: limits_out_of_range_are_errors_that_name_the_key.

--- a/crates/net/src/config/sockets.rs
+++ b/crates/net/src/config/sockets.rs
@@ -11,8 +11,10 @@
 const RESERVED_DESCRIPTORS: usize = 32;
 /// The lowest limit that leaves a useful number of connections after the reserved descriptors.
 pub(super) const MIN_SOCKETS: usize = 128;
-/// The lowest memory limit at which the process can run, in MiB.
+const MAX_SOCKETS: usize = 1 << 20;
+/// The lowest memory limit at which the process can run, and the highest, in MiB.
 const MIN_MEMORY_MB: u64 = 32;
+const MAX_MEMORY_MB: u64 = 1 << 20;
 
 /// The number of descriptors that each part of the process may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,16 +47,20 @@
 /// Checks the limits in the platform's document.
 pub(super) fn check_limits(sockets: usize, memory_mb: u64) -> Result<(), ConfigError> {
     if sockets < MIN_SOCKETS {
-        return Err(ConfigError::key(
-            "limits.sockets",
-            format!("{sockets} is less than {MIN_SOCKETS}"),
-        ));
+        let reason = format!("{sockets} is less than {MIN_SOCKETS}");
+        return Err(ConfigError::key("limits.sockets", reason));
+    }
+    if sockets > MAX_SOCKETS {
+        let reason = format!("{sockets} is more than {MAX_SOCKETS}");
+        return Err(ConfigError::key("limits.sockets", reason));
     }
     if memory_mb < MIN_MEMORY_MB {
-        return Err(ConfigError::key(
-            "limits.memory_mb",
-            format!("{memory_mb} is less than {MIN_MEMORY_MB}"),
-        ));
+        let reason = format!("{memory_mb} is less than {MIN_MEMORY_MB}");
+        return Err(ConfigError::key("limits.memory_mb", reason));
+    }
+    if memory_mb > MAX_MEMORY_MB {
+        let reason = format!("{memory_mb} is more than {MAX_MEMORY_MB}");
+        return Err(ConfigError::key("limits.memory_mb", reason));
     }
     Ok(())
 }
--- a/crates/net/tests/resource_limits.rs
+++ b/crates/net/tests/resource_limits.rs
@@ -1,6 +1,6 @@
 //! Checks how the descriptors and the memory of the process are divided.
 
-use pumiceway_net::config::Config;
+use pumiceway_net::config::{Config, ConfigError};
 use pumiceway_test_support::SETTINGS;
 
 /// The target: the process takes at most this share of its memory limit, in percent.
@@ -8,16 +8,36 @@
 /// What a connection to an endpoint takes at least.
 const MIN_ENDPOINT_CONNECTION_BYTES: usize = 16 << 10;
 
-fn config(memory_mb: usize, sockets: usize) -> Config {
+fn parse(memory_mb: usize, sockets: usize) -> Result<Config, ConfigError> {
     let limits = format!(r#"{{"memory_mb":{memory_mb},"sockets":{sockets}}}"#);
     let text = format!(r#"{{"listen":"127.0.0.1:0","limits":{limits},"settings":{SETTINGS}}}"#);
-    Config::from_text(&text, "config", |_| None).unwrap()
+    Config::from_text(&text, "config", |_| None)
+}
+
+fn config(memory_mb: usize, sockets: usize) -> Config {
+    parse(memory_mb, sockets).unwrap()
+}
+
+// A limit that no machine has ended the process in the division of what it stands for.
+#[test]
+fn limits_out_of_range_are_errors_that_name_the_key() {
+    let highest = usize::MAX;
+    for (memory_mb, sockets, expected) in [
+        (31, 1_024, "limits.memory_mb: 31 is less than 32"),
+        (highest, 1_024, "is more than 1048576"),
+        (1 << 44, 1_024, "is more than 1048576"),
+        (192, 127, "limits.sockets: 127 is less than 128"),
+        (192, highest, "is more than 1048576"),
+    ] {
+        let error = parse(memory_mb, sockets).unwrap_err().to_string();
+        assert!(error.contains(expected), "{error}");
+    }
 }
 
 #[test]
 fn the_parts_of_the_memory_stay_within_its_limit_and_each_is_useful() {
-    for memory_mb in [32, 33, 64, 192, 2_048] {
-        for sockets in [128, 256, 512, 1_024, 65_536] {
+    for memory_mb in [32, 33, 64, 192, 1 << 20] {
+        for sockets in [128, 256, 512, 1_024, 1 << 20] {
             let config = config(memory_mb, sockets);
             let memory = config.memory;
             let connections = config.socket_budget.outbound * MIN_ENDPOINT_CONNECTION_BYTES;
--- a/crates/pumiceway/src/serve.rs
+++ b/crates/pumiceway/src/serve.rs
@@ -8,10 +8,14 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 
+/// The threads that look up host names. Addresses need none, and each thread takes memory.
+const MAX_LOOKUP_THREADS: usize = 4;
+
 /// Runs the dispatcher with this configuration, on the current thread.
 pub fn run(config: Config, reload_policy: ReloadPolicy) -> Result<(), CommandError> {
     tokio::runtime::Builder::new_current_thread()
         .enable_all()
+        .max_blocking_threads(MAX_LOOKUP_THREADS)
         .build()
         .map_err(CommandError::Runtime)?
         .block_on(serve(config, reload_policy))
