--- a/crates/memory/src/state.rs
+++ b/crates/memory/src/state.rs
@@ -59,6 +59,8 @@
     total: usize,
     drawn: usize,
     drawn_by: [usize; Holder::ALL.len()],
+    /// What revoked accounts still hold, by kind.
+    returning_by: [usize; Holder::ALL.len()],
     highest: usize,
     revoked_count: u64,
     last_id: u64,
@@ -82,6 +84,7 @@
             total,
             drawn: 0,
             drawn_by: [0; Holder::ALL.len()],
+            returning_by: [0; Holder::ALL.len()],
             highest: 0,
             revoked_count: 0,
             last_id: 0,
@@ -188,10 +191,10 @@
 
     /// What revoked accounts still hold.
     fn being_returned(&self, scope: Scope) -> usize {
-        let revoked = self.accounts.values().filter(|account| {
-            account.standing == Standing::Revoked && scope.includes(account.holder)
-        });
-        revoked.map(|account| account.held).sum()
+        match scope {
+            Scope::Kind(holder) => self.returning_by[holder as usize],
+            Scope::All => self.returning_by.iter().sum(),
+        }
     }
 
     /// The account with the highest burden, where the account that draws counts with what it would
@@ -218,6 +221,7 @@
         self.stop_waiting(id);
         if let Some(account) = self.accounts.get_mut(&id) {
             account.standing = Standing::Revoked;
+            self.returning_by[account.holder as usize] += account.held;
             self.revoked_count += 1;
             if let Some(waker) = account.waker.take() {
                 waker.wake();
@@ -237,6 +241,9 @@
         self.drawn += bytes;
         self.highest = self.highest.max(self.drawn);
         self.drawn_by[account.holder as usize] += bytes;
+        if account.standing == Standing::Revoked {
+            self.returning_by[account.holder as usize] += bytes;
+        }
     }
 
     /// Returns an amount, or all that the account holds if that is less.
@@ -248,6 +255,9 @@
         account.held -= bytes;
         self.drawn -= bytes;
         self.drawn_by[account.holder as usize] -= bytes;
+        if account.standing == Standing::Revoked {
+            self.returning_by[account.holder as usize] -= bytes;
+        }
         if bytes > 0 {
             self.wake_waiting();
         }
