--- a/crates/net/src/frontend/gearman/clients/submission.rs
+++ b/crates/net/src/frontend/gearman/clients/submission.rs
@@ -3,16 +3,12 @@
 use crate::config::Function;
 use crate::frontend::gearman::GearmanFrontend;
 use crate::frontend::gearman::codec::{MAX_WORKLOAD, Packet};
+use crate::frontend::gearman::payload::copy_workload;
 use bytes::Bytes;
 use pumiceway_core::{ClientRequest, Job, UniqueId};
 use pumiceway_decisions::settings::RepeatSemantics;
-use pumiceway_memory::{AccountedBuffer, Holder, MemoryBudget};
 use std::fmt::Write;
 use std::sync::Arc;
-use std::time::Instant;
-
-/// What an open job takes beside its workload.
-const JOB_BYTES: usize = 4 << 10;
 
 /// A job that a client submits with a `SUBMIT_JOB` packet.
 pub struct Submission {
@@ -74,7 +70,7 @@
         function: Function,
         frontend: &GearmanFrontend,
     ) -> Option<ClientRequest> {
-        let body = accounted(&self.workload, &frontend.memory)?;
+        let body = copy_workload(&frontend.memory, &self.workload)?;
         let class = &frontend.settings.classes[function.class.0];
         let unique_id =
             Some(self.unique_id).filter(|unique_id| !unique_id.is_empty() && unique_id != "-");
@@ -101,20 +97,6 @@
     }
 }
 
-/// A copy of a workload, which shares its buffer with other packets. The copy, and what else an open
-/// job takes, is drawn until its last clone is dropped; `None` if there is no memory for it.
-fn accounted(workload: &[u8], memory: &MemoryBudget) -> Option<Bytes> {
-    let now = Instant::now();
-    let mut account = memory.open(Holder::Request, now);
-    account.try_draw(JOB_BYTES + workload.len(), now).ok()?;
-    account.give_back(workload.len());
-    Some(
-        AccountedBuffer::new(account)
-            .replace_by(workload.to_vec(), now)
-            .into(),
-    )
-}
-
 /// Encodes a unique id as a segment of a path.
 fn percent_encode(unique_id: &str) -> String {
     let mut segment = String::new();
--- a/crates/net/src/frontend/gearman/connection.rs
+++ b/crates/net/src/frontend/gearman/connection.rs
@@ -30,23 +30,22 @@
 use super::input::Input;
 use super::input_end::InputEnd;
 use super::outbox::Outbox;
+use super::payload::{copy_result, copy_update};
+use super::turn::Turn;
 use super::workers::progress_update;
 use super::{GearmanFrontend, admin};
 use crate::frontend::admission::{self, ClientConnection};
 use crate::frontend::{CloseSignal, wait_for_close};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use pumiceway_core::{AttemptOutcome, AttemptUpdate};
 use pumiceway_decisions::api::Timestamp;
-use pumiceway_memory::{AccountedBuffer, Holder, MemoryAccount};
+use pumiceway_memory::{Holder, MemoryAccount};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, interval, sleep_until};
 use tracing::{info, warn};
 
-/// Number of packets, and bytes of their data, that are handled in one turn.
-const MAX_TURN_PACKETS: usize = 32;
-const MAX_TURN_BYTES: usize = 32 << 10;
 /// Interval of the checks for an incomplete packet.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -145,27 +144,6 @@
     shutdown_guard: Option<ShutdownGuard>,
 }
 
-/// What a connection has handled since it last waited for the event loop.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Turn {
-    packets: usize,
-    bytes: usize,
-}
-
-impl Turn {
-    /// Counts a packet or command.
-    fn count(&mut self, received: &Received) {
-        self.packets += 1;
-        if let Received::Packet(packet) = received {
-            self.bytes += packet.data_bytes();
-        }
-    }
-
-    fn is_over(self) -> bool {
-        self.packets >= MAX_TURN_PACKETS || self.bytes >= MAX_TURN_BYTES
-    }
-}
-
 /// How far the shutdown of the dispatcher has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ShutdownPhase {
@@ -293,8 +271,7 @@
         if !(starts_job && self.input.is_closed_by_peer().await) {
             self.handle_received(received).await;
         }
-        if self.turn.is_over() {
-            self.turn = Turn::default();
+        if self.turn.end_if_over() {
             self.frontend.events.caught_up().await;
         }
     }
@@ -326,18 +303,18 @@
                 denominator,
             } => self.job_updated(&handle, progress_update(numerator, denominator)),
             Packet::WorkData { handle, data } => {
-                self.job_updated(&handle, AttemptUpdate::Data(unshared(&data)));
+                self.job_updated(&handle, AttemptUpdate::Data(copy_update(&data)));
             }
             // WORK_EXCEPTION does not end the job; the WORK_FAIL that follows it does.
             Packet::WorkWarning { handle, data } | Packet::WorkException { handle, data } => {
-                self.job_updated(&handle, AttemptUpdate::Warning(unshared(&data)));
+                self.job_updated(&handle, AttemptUpdate::Warning(copy_update(&data)));
             }
             Packet::WorkComplete { handle, data } if data.len() > MAX_WORKLOAD => {
                 self.send_error("TOO_LARGE", "the result is too large");
                 self.job_ended(&handle, AttemptOutcome::Error);
             }
             Packet::WorkComplete { handle, data } => {
-                let result = self.accounted_result(&data);
+                let result = copy_result(&self.frontend.memory, &data);
                 self.job_ended(&handle, AttemptOutcome::Served(result));
             }
             Packet::WorkFail { handle } => self.job_ended(&handle, AttemptOutcome::Error),
@@ -364,15 +341,6 @@
         }
     }
 
-    /// The result of a job, whose memory is drawn until its last clone is dropped.
-    fn accounted_result(&self, data: &[u8]) -> Bytes {
-        let now = std::time::Instant::now();
-        let account = self.frontend.memory.open(Holder::Response, now);
-        AccountedBuffer::new(account)
-            .replace_by(data.to_vec(), now)
-            .into()
-    }
-
     fn can_do(&self, function: String) {
         match self.frontend.functions.class(&function) {
             Some(class) => self.frontend.workers.can_do(
@@ -406,11 +374,6 @@
     }
 }
 
-/// A copy of data that shares its buffer with other packets, which may be much larger.
-fn unshared(data: &Bytes) -> Bytes {
-    Bytes::copy_from_slice(data)
-}
-
 /// Waits until packets that have begun are no longer received; forever before the shutdown, and
 /// after that time.
 async fn receiving_ends(shutdown: Option<ShutdownPhase>) {
--- a/crates/net/src/frontend/gearman/mod.rs
+++ b/crates/net/src/frontend/gearman/mod.rs
@@ -11,6 +11,8 @@
 mod input;
 mod input_end;
 mod outbox;
+mod payload;
+mod turn;
 pub mod workers;
 
 pub use outbox::Outbox;
