Fault soak: crowds, lengthy responses, returning clients, a quarter of a core, a judge of memory

Change: schedules draw crowds of troublesome clients, lengthy responses, clients that leave and come again with the same id, and a dispatcher on a quarter of a core. The judge counts the memory of each process (files too, but for debug builds), the process's end, work sent on after a departure, jobs that ran again, and how long sound clients waited.

--- a/crates/pumiceway/tests/common/mod.rs
+++ b/crates/pumiceway/tests/common/mod.rs
@@ -44,6 +44,11 @@
     std::env::var_os("FAULT_PROGRAM").map_or_else(|| BUILT.clone(), PathBuf::from)
 }
 
+/// Whether the program under test is another build than that of the tests.
+pub fn is_other_build() -> bool {
+    std::env::var_os("FAULT_PROGRAM").is_some()
+}
+
 impl Process {
     /// Starts the program with this configuration, and waits until it listens.
     pub fn start(config: &Path, gearman: &Path) -> Process {
--- a/crates/pumiceway/tests/faults.rs
+++ b/crates/pumiceway/tests/faults.rs
@@ -38,15 +38,28 @@
 /// At the end of a run, each process reports within this time that it is ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The conditions of a seed. The pages of the program count if it is a build to be deployed.
+fn draw_conditions(seed: u64) -> Conditions {
+    Conditions {
+        counts_files: common::is_other_build(),
+        ..Conditions::draw(seed)
+    }
+}
+
 fn run(seed: u64, size: &Size) -> RuleReport {
-    let lists = Conditions::draw(seed).lists;
-    let schedule =
-        faults::draw_schedule(seed, size.duration, size.dispatchers, size.workers, lists);
+    let conditions = draw_conditions(seed);
+    let schedule = faults::draw_schedule(
+        seed,
+        size.duration,
+        size.dispatchers,
+        size.workers,
+        &conditions,
+    );
     run_schedule(seed, size, &schedule)
 }
 
 fn run_schedule(seed: u64, size: &Size, schedule: &Schedule) -> RuleReport {
-    let conditions = Conditions::draw(seed);
+    let conditions = draw_conditions(seed);
     let fleet = TestFleet::start(
         &common::program(),
         size.dispatchers,
@@ -72,8 +85,13 @@
     }
     let report = check_rules(&fleet, &sent);
     println!(
-        "seed {seed}, {conditions:?}: {} of {} served",
-        report.served, report.requests
+        "seed {seed}, {conditions:?}: {} of {} served; of {} awaited, {} served, {:?} at most; {:.2} of the memory",
+        report.served,
+        report.requests,
+        report.awaited,
+        report.awaited_served,
+        report.longest_wait,
+        report.memory_share,
     );
     if !report.violations.is_empty() {
         println!(
--- a/crates/pumiceway/tests/returning_clients.rs
+++ b/crates/pumiceway/tests/returning_clients.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use pumiceway_test_support::processes::endpoints::Arrival;
-use pumiceway_test_support::processes::returning::{come_again, leave};
+use pumiceway_test_support::processes::returning::{come_again, leave, request_ids};
 use pumiceway_test_support::processes::rule_checker::check_rules;
 use pumiceway_test_support::processes::{Conditions, TestFleet};
 use std::net::SocketAddr;
@@ -14,12 +14,6 @@
 /// What each client has written behind its request when it leaves.
 const EXCESS_BYTES: usize = 1 << 20;
 
-fn ids(prefix: &str, count: usize) -> Vec<String> {
-    (0..count)
-        .map(|number| format!("{prefix}-{number}"))
-        .collect()
-}
-
 // Regression test for issue 53: beyond 4,096 consumed ids the oldest were forgotten, though their
 // clients might still come again.
 #[test]
@@ -35,9 +29,12 @@
     assert!(fleet.dispatchers[0].ready_within(common::TIMEOUT));
     let address = fleet.dispatchers[0].address.lock().unwrap().clone();
     let address: SocketAddr = address.unwrap().parse().unwrap();
-    let departed = leave(address, &ids("first", 200), EXCESS_BYTES);
+    let departed = leave(address, &request_ids("first", 200), EXCESS_BYTES);
     assert_eq!(departed.len(), 200);
-    assert_eq!(leave(address, &ids("next", FOLLOWING), 0).len(), FOLLOWING);
+    assert_eq!(
+        leave(address, &request_ids("next", FOLLOWING), 0).len(),
+        FOLLOWING
+    );
     let departures = come_again(address, departed);
     assert_eq!(departures.len(), 200);
     fleet.departures.lock().unwrap().extend(departures);
--- a/crates/test-support/examples/pressure.rs
+++ b/crates/test-support/examples/pressure.rs
@@ -38,11 +38,11 @@
         sockets: number("sockets", 512),
         endpoints: number("endpoints", 8),
         clients: number("clients", 20) as u64,
-        crowds: chosen(&text("conducts", "all"), &Conduct::ALL)
+        crowds: chosen(&text("conducts", "all"), Conduct::ALL)
             .into_iter()
             .map(|conduct| (conduct, connections))
             .collect(),
-        responses: chosen(&text("responses", "none"), &LengthyResponse::ALL),
+        responses: chosen(&text("responses", "none"), LengthyResponse::ALL),
         throttled: text("throttle", "no") == "yes",
         duration: Duration::from_secs(number("seconds", 12) as u64),
     };
--- a/crates/test-support/src/processes/conditions.rs
+++ b/crates/test-support/src/processes/conditions.rs
@@ -58,6 +58,9 @@
     pub sockets: usize,
     /// The memory limit of a dispatcher, in MiB.
     pub memory_mb: u64,
+    /// Whether the pages of the program count towards the memory. Those of a debug build are many times
+    /// as many as those of the deployed one.
+    pub counts_files: bool,
     /// Whether dispatchers check the health of endpoints.
     pub health_checks: bool,
 }
@@ -88,6 +91,7 @@
             sockets,
             memory_mb: *rng.choice(&MEMORY_LIMITS_MB).unwrap(),
             health_checks: rng.bool(),
+            counts_files: true,
         }
     }
 
--- a/crates/test-support/src/processes/crowds.rs
+++ b/crates/test-support/src/processes/crowds.rs
@@ -53,7 +53,7 @@
 
 impl Conduct {
     /// Every conduct.
-    pub const ALL: [Conduct; 12] = [
+    pub const ALL: &[Conduct] = &[
         Conduct::Silent,
         Conduct::SlowHead,
         Conduct::ManyFields,
--- a/crates/test-support/src/processes/faults/injection.rs
+++ b/crates/test-support/src/processes/faults/injection.rs
@@ -5,6 +5,7 @@
 use crate::processes::crowds::{self, Conduct};
 use crate::processes::dispatcher::{Dispatcher, SocketExhaustion};
 use crate::processes::endpoints::{Behavior, ListedStatus};
+use crate::processes::returning::{come_again, leave, request_ids};
 use crate::processes::service::{Cost, USUAL_COST};
 use crate::processes::throttle::throttle;
 use rustix::process::Signal;
@@ -15,6 +16,8 @@
 
 /// The time between two moves of discovery in a row.
 const MOVE_INTERVAL: Duration = Duration::from_millis(150);
+/// What each client that leaves has written behind its request.
+const EXCESS_BYTES: usize = 1 << 20;
 /// The number of idle connections that exhaust the sockets of a dispatcher, as a multiple of its
 /// socket limit.
 const CONNECTIONS_PER_SOCKET: usize = 2;
@@ -136,6 +139,11 @@
             let dispatcher = &fleet.dispatchers[dispatcher];
             send_crowd(dispatcher, conduct, connections, duration);
         }
+        Fault::ReturningClients {
+            dispatcher,
+            count,
+            away,
+        } => return_clients(fleet, &fleet.dispatchers[dispatcher], count, away),
         Fault::Throttle {
             dispatcher,
             duration,
@@ -156,6 +164,21 @@
     crowds::run(conduct, connections, &name, address, is_over);
 }
 
+fn return_clients(fleet: &TestFleet, dispatcher: &Dispatcher, count: usize, away: Duration) {
+    let address = || dispatcher.address.lock().unwrap().as_ref()?.parse().ok();
+    let Some(first_address) = address() else {
+        return;
+    };
+    let name = format!("return-{}-{count}", dispatcher.number);
+    let departed = leave(first_address, &request_ids(&name, count), EXCESS_BYTES);
+    std::thread::sleep(away);
+    // A new process does not know what its predecessor has run.
+    if address() == Some(first_address) {
+        let departures = come_again(first_address, departed);
+        fleet.departures.lock().unwrap().extend(departures);
+    }
+}
+
 fn throttle_process(dispatcher: &Dispatcher, duration: Duration) {
     let until = Instant::now() + duration;
     if let Some(process) = dispatcher.process() {
--- a/crates/test-support/src/processes/faults/mod.rs
+++ b/crates/test-support/src/processes/faults/mod.rs
@@ -85,6 +85,12 @@
         connections: usize,
         duration: Duration,
     },
+    /// Clients leave a dispatcher right after their requests, and come again after a time.
+    ReturningClients {
+        dispatcher: usize,
+        count: usize,
+        away: Duration,
+    },
     /// A dispatcher is suspended and resumed in turn, so that it runs for a quarter of the time.
     Throttle {
         dispatcher: usize,
--- a/crates/test-support/src/processes/faults/schedule.rs
+++ b/crates/test-support/src/processes/faults/schedule.rs
@@ -1,10 +1,12 @@
 //! Draws a schedule of faults from a seed.
 
 use super::{Fault, Schedule};
-use crate::processes::ListDelivery;
+use crate::processes::crowds::Conduct;
 use crate::processes::discovery::{CallFault, OldAddress, WatchLoss};
 use crate::processes::endpoints::Behavior;
+use crate::processes::lengthy::LengthyResponse;
 use crate::processes::service::Failure;
+use crate::processes::{Conditions, ListDelivery};
 use fastrand::Rng;
 use std::time::Duration;
 
@@ -13,6 +15,11 @@
 /// A schedule has this many faults, and one more for every `SECONDS_PER_FAULT` seconds.
 const MIN_FAULTS: u64 = 5;
 const SECONDS_PER_FAULT: u64 = 3;
+/// A crowd has at most one connection for each so many sockets of the dispatcher: two crowds at once
+/// leave connections for sound clients.
+const SOCKETS_PER_CROWD_CONNECTION: usize = 6;
+/// Fewer clients than this send without pause.
+const MAX_FLOODING: usize = 4;
 /// How many times lost watches, an overloaded discovery service and leaving endpoints are combined.
 const COMBINATIONS: u32 = 2;
 
@@ -98,7 +105,13 @@
 
 fn draw_endpoint_misbehaves(rng: &mut Rng, endpoints: usize) -> Fault {
     let endpoint = rng.usize(..endpoints);
-    let behaviors = [Behavior::Resets, Behavior::Hangs, Behavior::RespondsTwice];
+    let lengthy = *rng.choice(LengthyResponse::ALL).unwrap();
+    let behaviors = [
+        Behavior::Resets,
+        Behavior::Hangs,
+        Behavior::RespondsTwice,
+        Behavior::RespondsAtLength(lengthy),
+    ];
     let behavior = *rng.choice(&behaviors).unwrap();
     Fault::EndpointMisbehaves {
         endpoint,
@@ -107,9 +120,30 @@
     }
 }
 
-fn draw_fault(rng: &mut Rng, dispatchers: usize, endpoints: usize, lists: ListDelivery) -> Fault {
+fn draw_client_crowd(rng: &mut Rng, dispatcher: usize, sockets: usize) -> Fault {
+    let conduct = *rng.choice(Conduct::ALL).unwrap();
+    let connections = if conduct.is_flood() {
+        rng.usize(1..MAX_FLOODING)
+    } else {
+        rng.usize(1..sockets / SOCKETS_PER_CROWD_CONNECTION)
+    };
+    Fault::ClientCrowd {
+        dispatcher,
+        conduct,
+        connections,
+        duration: millis(rng, 500, 6_000),
+    }
+}
+
+fn draw_fault(
+    rng: &mut Rng,
+    dispatchers: usize,
+    endpoints: usize,
+    conditions: &Conditions,
+) -> Fault {
+    let lists = conditions.lists;
     let dispatcher = rng.usize(..dispatchers);
-    match rng.u32(..18) {
+    match rng.u32(..24) {
         0 => Fault::Kill {
             one_in: rng.usize(2..5),
             downtime: millis(rng, 100, 9_000),
@@ -140,9 +174,20 @@
             dispatcher,
             duration: millis(rng, 1_000, 6_000),
         },
-        _ => Fault::DisconnectBurst {
+        17 => Fault::DisconnectBurst {
             duration: millis(rng, 200, 1_500),
         },
+        18..=20 => draw_client_crowd(rng, dispatcher, conditions.sockets),
+        21 => Fault::ReturningClients {
+            dispatcher,
+            count: rng.usize(20..200),
+            away: millis(rng, 0, 2_000),
+        },
+        22 => Fault::Throttle {
+            dispatcher,
+            duration: millis(rng, 500, 4_000),
+        },
+        _ => draw_endpoint_misbehaves(rng, endpoints),
     }
 }
 
@@ -152,7 +197,7 @@
     length: Duration,
     dispatchers: usize,
     endpoints: usize,
-    lists: ListDelivery,
+    conditions: &Conditions,
 ) -> Schedule {
     let mut rng = Rng::with_seed(seed);
     let rng = &mut rng;
@@ -160,7 +205,10 @@
     let mut schedule = Schedule::new();
     for _ in 0..MIN_FAULTS + length.as_secs() / SECONDS_PER_FAULT {
         let begins_at = millis(rng, FIRST_FAULT_MS, latest_ms);
-        schedule.push((begins_at, draw_fault(rng, dispatchers, endpoints, lists)));
+        schedule.push((
+            begins_at,
+            draw_fault(rng, dispatchers, endpoints, conditions),
+        ));
     }
     // Endpoints that leave while dispatchers are not notified of it. These faults seldom coincide
     // if each is drawn separately.
--- a/crates/test-support/src/processes/lengthy.rs
+++ b/crates/test-support/src/processes/lengthy.rs
@@ -40,7 +40,7 @@
 
 impl LengthyResponse {
     /// Every kind.
-    pub const ALL: [LengthyResponse; 7] = [
+    pub const ALL: &[LengthyResponse] = &[
         LengthyResponse::Line,
         LengthyResponse::SlowLine,
         LengthyResponse::Lines,
--- a/crates/test-support/src/processes/memory.rs
+++ b/crates/test-support/src/processes/memory.rs
@@ -45,6 +45,8 @@
 pub struct MemoryRecord {
     /// The memory at the time of the highest total.
     pub peak: MemoryUse,
+    /// When that was.
+    pub peak_at: Option<Instant>,
     /// When the memory passed the limit.
     pub exceeded_at: Option<Instant>,
 }
@@ -67,6 +69,7 @@
                 let mut record = shared_record.lock().unwrap();
                 if memory.total > record.peak.total {
                     record.peak = memory;
+                    record.peak_at = Some(Instant::now());
                 }
                 if memory.total > limit && record.exceeded_at.is_none() {
                     record.exceeded_at = Some(Instant::now());
--- a/crates/test-support/src/processes/pressure.rs
+++ b/crates/test-support/src/processes/pressure.rs
@@ -74,6 +74,7 @@
             max_remaining: DEADLINES[1],
             sockets: self.sockets,
             memory_mb: self.memory_mb,
+            counts_files: true,
             health_checks: self.responses.contains(&LengthyResponse::SlowLoadReport),
         };
         let fleet = TestFleet::start(program, 1, self.endpoints, conditions);
--- a/crates/test-support/src/processes/returning.rs
+++ b/crates/test-support/src/processes/returning.rs
@@ -25,6 +25,13 @@
     pub returned_at: Instant,
 }
 
+/// Ids that begin with a name.
+pub fn request_ids(name: &str, count: usize) -> Vec<String> {
+    (0..count)
+        .map(|number| format!("{name}-{number}"))
+        .collect()
+}
+
 /// Sends these requests and leaves, each with this many bytes behind it. Returns when each client
 /// left.
 pub fn leave(address: SocketAddr, ids: &[String], excess_bytes: usize) -> Vec<(String, Instant)> {
--- a/crates/test-support/src/processes/rule_checker.rs
+++ b/crates/test-support/src/processes/rule_checker.rs
@@ -4,7 +4,7 @@
 use super::discovery::{ChangeToNotify, NotificationLimits};
 use super::endpoints::{Arrival, ListChange, ListedStatus};
 use super::returning::Departure;
-use super::{ProcessRun, TestFleet};
+use super::{Dispatcher, ProcessRun, TestFleet};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -27,6 +27,8 @@
 const READ_WITHIN: Duration = Duration::from_millis(150);
 /// The remaining time that is sent to an endpoint exceeds the client's by at most this.
 const MAX_REMAINING_EXCESS: Duration = Duration::from_millis(150);
+/// A process takes at most this share of its memory limit.
+const MAX_MEMORY_SHARE: f64 = 0.8;
 /// The delay that a busy machine may add to each measurement.
 const MEASUREMENT_SLACK: Duration = Duration::from_millis(250);
 
@@ -43,6 +45,8 @@
     pub awaited_served: usize,
     /// The longest time that such a client waited.
     pub longest_wait: Duration,
+    /// The highest share of its memory limit that a process took.
+    pub memory_share: f64,
     /// The violations of invariants, each with its time in seconds.
     pub violations: Vec<String>,
 }
@@ -72,6 +76,9 @@
     }
     let awaited = || sent.iter().filter(|request| is_awaited(request));
     let waits = awaited().map(|request| request.ended_at - request.at);
+    for dispatcher in &fleet.dispatchers {
+        checker.check_memory(dispatcher);
+    }
     for departure in &*fleet.departures.lock().unwrap() {
         checker.check_departure(departure, &arrivals);
     }
@@ -81,6 +88,7 @@
         awaited: awaited().count(),
         awaited_served: awaited().filter(|request| is_served(request)).count(),
         longest_wait: waits.max().unwrap_or_default(),
+        memory_share: highest_memory_share(fleet),
         violations: checker.violations,
     }
 }
@@ -93,6 +101,18 @@
     request.connection == Connection::Reused && !(is_paused && request.ended_at > read_for_sure_at)
 }
 
+/// The highest share of its limit, files counted, that any process took.
+fn highest_memory_share(fleet: &TestFleet) -> f64 {
+    let limit = (fleet.conditions.memory_mb << 20) as f64;
+    let records = fleet
+        .dispatchers
+        .iter()
+        .flat_map(Dispatcher::memory_records);
+    records.fold(0.0, |highest, record| {
+        highest.max(record.peak.total as f64 / limit)
+    })
+}
+
 fn is_served(request: &SentRequest) -> bool {
     matches!(&request.end, RequestEnd::Response(line) if line.contains(" 200 "))
 }
@@ -149,6 +169,24 @@
         }
     }
 
+    /// Checks that each process of a dispatcher has stayed within its share of the memory limit.
+    fn check_memory(&mut self, dispatcher: &Dispatcher) {
+        let conditions = &self.fleet.conditions;
+        let limit = (conditions.memory_mb << 20) as f64 * MAX_MEMORY_SHARE;
+        for record in dispatcher.memory_records() {
+            let peak = if conditions.counts_files {
+                record.peak.total
+            } else {
+                record.peak.anonymous
+            };
+            if peak as f64 > limit {
+                let at = record.peak_at.unwrap_or(self.fleet.started_at);
+                let description = format!("memory: d{} took {:?}", dispatcher.number, record.peak);
+                self.record_violation(at, description);
+            }
+        }
+    }
+
     /// Checks that nothing was sent on for a client after it had left, and that its job, which is
     /// not idempotent, ran once although it came again.
     fn check_departure(&mut self, departure: &Departure, arrivals: &[Arrival]) {
