Fault soak: an agent lacks only recent changes; close returns the memory of a connection

Change: an agent's outdated list lacks changes of the last 0.2 s only, by which it lags; a service is as before.

--- a/crates/net/src/frontend/admission/close.rs
+++ b/crates/net/src/frontend/admission/close.rs
@@ -109,7 +109,7 @@
     final_response: Option<FinalResponse>,
 ) {
     connection.enter(ConnectionPhase::Closing);
-    connection.return_buffers();
+    connection.return_memory();
     let socket = SockRef::from(stream);
     if let Some(response) = final_response {
         // Written directly, because tokio may not know yet that the socket is writable. A failed
--- a/crates/net/src/frontend/admission/connection.rs
+++ b/crates/net/src/frontend/admission/connection.rs
@@ -175,11 +175,12 @@
         }
     }
 
-    /// Returns what the buffers of the HTTP parser took, after it was dropped.
-    pub(super) fn return_buffers(&self) {
+    /// Returns the memory of a connection that is being closed. What it still takes is little, and
+    /// others may wait for it for as long as the client does not close its side.
+    pub(super) fn return_memory(&self) {
         let mut state = self.state();
-        let buffers = state.memory.held().saturating_sub(CONNECTION_BYTES);
-        state.memory.give_back(buffers);
+        let held = state.memory.held();
+        state.memory.give_back(held);
     }
 
     /// Records bytes that the HTTP parser writes. While a request is incomplete, these are its own
--- a/crates/test-support/src/processes/discovery/calls.rs
+++ b/crates/test-support/src/processes/discovery/calls.rs
@@ -13,8 +13,9 @@
 const WATCH_POLL: Duration = Duration::from_millis(10);
 /// The time between two bytes of a response that is sent byte by byte.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(200);
-/// The time after which an outdated service catches up. For an agent it is shorter, as the
-/// dispatcher counts as notified at once of the list that its agent has.
+/// The time after which an outdated service catches up. For an agent it is shorter, and it lacks only
+/// changes that are as recent: the dispatcher counts as notified at once of the list that its agent
+/// has, and could not know that an older one is meant.
 const SERVICE_LAG: Duration = Duration::from_millis(1_500);
 const AGENT_LAG: Duration = Duration::from_millis(200);
 /// How long a call without a response stays open.
@@ -94,11 +95,7 @@
             (Some(CallFault::HeadAndHeartbeats), _) => self.send_heartbeats(address, peer),
             (Some(CallFault::Trickles), _) => self.trickle(peer),
             (Some(CallFault::Outdated), None) => {
-                self.send_snapshot(
-                    address,
-                    &mut peer,
-                    self.service.endpoints.outdated_snapshot(),
-                );
+                self.send_snapshot(address, &mut peer, self.outdated_snapshot());
             }
             (Some(CallFault::Outdated), Some(_)) => self.watch_outdated(address, peer),
             (_, None) => {
@@ -111,6 +108,14 @@
         }
     }
 
+    fn outdated_snapshot(&self) -> ListMessage {
+        let lag = match self.lists {
+            ListDelivery::Polled => None,
+            ListDelivery::Pushed => Some(AGENT_LAG),
+        };
+        self.service.endpoints.outdated_snapshot(lag)
+    }
+
     fn wait_for_turn(&self, watch_from: Option<u64>) -> Result<(), Failure> {
         let endpoints = &self.service.endpoints;
         let lines = match watch_from {
@@ -216,7 +221,7 @@
     /// Serves a watch whose first list is older than the list that was sent before: it lacks the
     /// last changes, which are sent some time later.
     fn watch_outdated(&self, address: usize, mut peer: Peer) {
-        let list = self.service.endpoints.outdated_snapshot();
+        let list = self.outdated_snapshot();
         peer.send("200");
         self.send_line(address, &mut peer, &list);
         std::thread::sleep(match self.lists {
--- a/crates/test-support/src/processes/endpoints.rs
+++ b/crates/test-support/src/processes/endpoints.rs
@@ -221,10 +221,13 @@
         self.snapshot_after(&self.changes())
     }
 
-    /// The list without the last changes.
-    pub fn outdated_snapshot(&self) -> ListMessage {
+    /// The list without the last changes, of those that were made less than `lag` ago.
+    pub fn outdated_snapshot(&self, lag: Option<Duration>) -> ListMessage {
         let mut changes = self.changes();
-        changes.truncate(changes.len().saturating_sub(OUTDATED_BY));
+        let may_lack = |change: &ListChange| lag.is_none_or(|lag| change.at.elapsed() < lag);
+        let lacked = changes.iter().rev().take(OUTDATED_BY);
+        let lacked = lacked.take_while(|change| may_lack(change)).count();
+        changes.truncate(changes.len() - lacked);
         self.snapshot_after(&changes)
     }
 
