Notice that a client has left before what it wrote is read

Cause: a read returns the end of the stream behind all bytes before it. While a request waits, what follows it was read and discarded up to 4 MiB before the close was noticed, 1 MB for each of hundreds of clients; a Gearman connection handled all packets before it. Change: the reactor reports the peer's close with the connection's readiness, whatever is unread; it is asked before a request's excess is discarded and before a Gearman job is started.

--- a/crates/net/src/frontend/admission/discard.rs
+++ b/crates/net/src/frontend/admission/discard.rs
@@ -5,6 +5,7 @@
 //! request waits for a response, or after the last response, are read here instead.
 
 use super::connection::ClientConnection;
+use super::read_closed::is_read_closed;
 use std::io;
 use std::task::{Context, Poll, ready};
 use tokio::net::TcpStream;
@@ -25,6 +26,9 @@
 ) -> Poll<io::Result<()>> {
     while connection.is_awaiting_response() {
         ready!(stream.poll_read_ready(cx))?;
+        if is_read_closed(stream) {
+            return Poll::Ready(Ok(()));
+        }
         if discard_available(stream, connection)? == Discarded::EndOfStream {
             return Poll::Ready(Ok(()));
         }
--- a/crates/net/src/frontend/admission/mod.rs
+++ b/crates/net/src/frontend/admission/mod.rs
@@ -15,6 +15,7 @@
 mod framing;
 mod permits;
 mod phase;
+mod read_closed;
 mod stream;
 mod unread;
 
@@ -24,6 +25,7 @@
 pub use framing::FramingError;
 pub use permits::{Admission, AdmissionDecision, ConnectionPermit};
 pub use phase::REQUEST_TIMEOUT;
+pub use read_closed::is_read_closed;
 pub use stream::InspectedStream;
 pub use unread::read_unreported;
 
--- a/crates/net/src/frontend/gearman/connection.rs
+++ b/crates/net/src/frontend/gearman/connection.rs
@@ -268,7 +268,7 @@
         self.turn.count(&received);
         let starts_job = matches!(received, Received::Packet(Packet::SubmitJob { .. }));
         // A job that is read after its client has left is not started.
-        if !(starts_job && self.input.is_closed_by_peer().await) {
+        if !(starts_job && admission::is_read_closed(self.input.stream())) {
             self.handle_received(received).await;
         }
         if self.turn.end_if_over() {
--- a/crates/net/src/frontend/gearman/input.rs
+++ b/crates/net/src/frontend/gearman/input.rs
@@ -8,7 +8,6 @@
 use pumiceway_memory::{MemoryAccount, Revoked};
 use std::future::poll_fn;
 use std::io::{self, ErrorKind};
-use tokio::io::{Interest, Ready};
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::time::Instant;
@@ -73,18 +72,6 @@
         !self.buffer.is_empty()
     }
 
-    /// Whether the peer has closed the connection, even if it has sent something before that was not
-    /// read yet.
-    pub(super) async fn is_closed_by_peer(&self) -> bool {
-        let ready = self.stream().ready(Interest::READABLE | Interest::WRITABLE);
-        // A connection that is neither readable nor writable has not been closed.
-        tokio::select! {
-            biased;
-            ready = ready => ready.is_ok_and(Ready::is_read_closed),
-            () = std::future::ready(()) => false,
-        }
-    }
-
     /// Reads what the peer has sent and the reactor has not reported yet. Returns whether there is
     /// anything.
     pub(super) fn read_unreported(&mut self) -> bool {
--- a/crates/test-support/src/processes/faults/injection.rs
+++ b/crates/test-support/src/processes/faults/injection.rs
@@ -16,6 +16,8 @@
 
 /// The time between two moves of discovery in a row.
 const MOVE_INTERVAL: Duration = Duration::from_millis(150);
+/// The number of clients that leave at the same time.
+const DEPARTING_CLIENTS: usize = 20;
 /// What each client that leaves has written behind its request.
 const EXCESS_BYTES: usize = 1 << 20;
 /// The number of idle connections that exhaust the sockets of a dispatcher, as a multiple of its
@@ -170,11 +172,16 @@
         return;
     };
     let name = format!("return-{}-{count}", dispatcher.number);
-    let departed = leave(first_address, &request_ids(&name, count), EXCESS_BYTES);
+    let departed = leave(
+        first_address,
+        &request_ids(&name, count),
+        EXCESS_BYTES,
+        DEPARTING_CLIENTS,
+    );
     std::thread::sleep(away);
     // A new process does not know what its predecessor has run.
     if address() == Some(first_address) {
-        let departures = come_again(first_address, departed);
+        let departures = come_again(first_address, departed, DEPARTING_CLIENTS);
         fleet.departures.lock().unwrap().extend(departures);
     }
 }
--- a/crates/test-support/src/processes/returning.rs
+++ b/crates/test-support/src/processes/returning.rs
@@ -6,8 +6,6 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-/// The number of clients that act at the same time.
-const CLIENTS: usize = 20;
 /// How long a client waits for its response when it has come again.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(8);
 /// Clients leave after a time within these limits, while their job runs.
@@ -32,11 +30,16 @@
         .collect()
 }
 
-/// Sends these requests and leaves, each with this many bytes behind it. Returns when each client
-/// left.
-pub fn leave(address: SocketAddr, ids: &[String], excess_bytes: usize) -> Vec<(String, Instant)> {
+/// Sends these requests and leaves, each with this many bytes behind it, so many clients at the same
+/// time. Returns when each client left.
+pub fn leave(
+    address: SocketAddr,
+    ids: &[String],
+    excess_bytes: usize,
+    clients: usize,
+) -> Vec<(String, Instant)> {
     let excess = vec![b'x'; excess_bytes];
-    in_parallel(ids, |id| {
+    in_parallel(clients, ids, |id| {
         let mut stream = TcpStream::connect(address).ok()?;
         stream.write_all(request(id).as_bytes()).ok()?;
         std::thread::sleep(Duration::from_millis(fastrand::u64(
@@ -50,9 +53,13 @@
     })
 }
 
-/// Sends the requests again and waits for the responses.
-pub fn come_again(address: SocketAddr, departed: Vec<(String, Instant)>) -> Vec<Departure> {
-    in_parallel(&departed, |(id, left_at)| {
+/// Sends the requests again and waits for the responses, so many clients at the same time.
+pub fn come_again(
+    address: SocketAddr,
+    departed: Vec<(String, Instant)>,
+    clients: usize,
+) -> Vec<Departure> {
+    in_parallel(clients, &departed, |(id, left_at)| {
         let returned_at = Instant::now();
         let mut stream = TcpStream::connect(address).ok()?;
         stream.set_read_timeout(Some(RESPONSE_TIMEOUT)).ok()?;
@@ -77,14 +84,18 @@
 }
 
 /// Applies a function to all items, some of them at the same time.
-fn in_parallel<T: Sync, R: Send>(items: &[T], apply: impl Fn(&T) -> Option<R> + Sync) -> Vec<R> {
+fn in_parallel<T: Sync, R: Send>(
+    threads: usize,
+    items: &[T],
+    apply: impl Fn(&T) -> Option<R> + Sync,
+) -> Vec<R> {
     let next = AtomicUsize::new(0);
     let work = || {
         let taken = std::iter::from_fn(|| items.get(next.fetch_add(1, Ordering::Relaxed)));
         taken.filter_map(&apply).collect::<Vec<R>>()
     };
     std::thread::scope(|scope| {
-        let threads: Vec<_> = (0..CLIENTS).map(|_| scope.spawn(work)).collect();
+        let threads: Vec<_> = (0..threads).map(|_| scope.spawn(work)).collect();
         let results = threads
             .into_iter()
             .flat_map(|thread| thread.join().unwrap());
