Review: cases in the order of their gravity; the truncated Gearman result gives way

Cause: a graver case needs one of the five places, and they stand in their order. Measured: nothing but names has changed.

--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,4 +1,4 @@
-//! A Gearman client disconnects in the middle of its job and then submits the same job again.
+//! A Gearman worker drops its connection in the middle of a job, where two functions stand for one class.
 
 #[path = "../rig-2/rig.rs"]
 mod rig;
@@ -12,63 +12,56 @@
     run_case(|record, folder| {
         let discovery = Discovery::start(record, Vec::new());
         let settings = settings(0);
+        let functions = "[functions.push-rates]\nclass = \"rate-push\"\n[functions.close-sales]\nclass = \"rate-push\"\nslots = 2\n";
         let options = Options {
-            gearman: Some(FUNCTIONS.into()),
+            gearman: Some(functions.into()),
             ..Options::default()
         };
         let dispatcher =
             Dispatcher::start_with(record, folder, "n0", discovery.address, &settings, &options)?;
         let to = dispatcher.gearman;
-        let runs: Arc<Mutex<u32>> = Arc::default();
-        let counted = runs.clone();
-        let own = record.clone();
-        gearman_worker(record, "w", to, &["booking-import"], move |peer, job| {
-            *lock(&counted) += 1;
-            for part in ["reservation 1\n", "reservation 2\n", "reservation 3\n"] {
-                thread::sleep(ms(500));
-                own.note(format!("worker w: sends {part:?}"));
-                peer.send(WORK_DATA, &[&job.handle, part.as_bytes()])?;
-            }
-            thread::sleep(ms(500));
-            own.note("worker w: completes with \"end\"");
-            peer.send(WORK_COMPLETE, &[&job.handle, b"end"])?;
-            Ok(true)
-        })
-        .map_err(|error| error.to_string())?;
+        let given: Arc<Mutex<Vec<(String, String, String)>>> = Arc::default();
+        let trouble = has_trouble();
+        let worker = |name: &'static str, function: &'static str, drops: bool| {
+            let given = given.clone();
+            gearman_worker(record, name, to, &[function], move |peer, job| {
+                lock(&given).push((name.into(), job.function.clone(), shown(&job.workload)));
+                thread::sleep(ms(300));
+                if drops {
+                    return Ok(false);
+                }
+                let result = format!(
+                    "{} done by {name} as {}",
+                    shown(&job.workload),
+                    job.function
+                );
+                peer.send(WORK_COMPLETE, &[&job.handle, result.as_bytes()])?;
+                Ok(true)
+            })
+            .map_err(|error| error.to_string())
+        };
+        worker("w-push", "push-rates", trouble)?;
         thread::sleep(ms(300));
-        let connect =
-            || Gearman::connect(to, Duration::from_secs(25)).map_err(|error| error.to_string());
-        if has_trouble() {
-            let mut first = connect()?;
-            first
-                .send(SUBMIT_JOB, &[b"booking-import", b"hotel-17", b"import"])
-                .map_err(|error| error.to_string())?;
-            record.note("client: submits booking-import unique \"hotel-17\"");
-            thread::sleep(ms(1200));
-            record.note("client: disconnects");
-            drop(first);
-            thread::sleep(ms(100));
-        }
-        let mut client = connect()?;
+        worker("w-close", "close-sales", false)?;
+        thread::sleep(ms(300));
+        let mut client =
+            Gearman::connect(to, Duration::from_secs(15)).map_err(|error| error.to_string())?;
         let outcome = gearman_submit(
             record,
             "client",
             &mut client,
-            "booking-import",
-            "hotel-17",
-            b"import",
+            "push-rates",
+            "-",
+            b"rates of hotel 17",
         );
-        let whole = "reservation 1\nreservation 2\nreservation 3\nend";
         if !has_trouble() && outcome.end != "complete" {
             return Err(format!("the job ended with {}", outcome.end));
         }
         let mut breaks = Vec::new();
-        record.note(format!("runs: {}", lock(&runs)));
-        if outcome.end == "complete" && outcome.data != whole.as_bytes() {
-            breaks.push(format!(
-                "the client was told as complete {:?}; the worker gave {whole:?}",
-                shown(&outcome.data)
-            ));
+        for (name, function, workload) in lock(&given).iter() {
+            if function != "push-rates" {
+                breaks.push(format!("{name} was given {workload:?} as a job of {function}, which nobody submitted; the client was told {} {:?}", outcome.end, shown(&outcome.data)));
+            }
         }
         Ok(breaks)
     });
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -1,67 +1,64 @@
-//! A Gearman worker drops its connection in the middle of a job, where two functions stand for one class.
+//! A bad client sends the id of an open request that belongs to another client.
 
 #[path = "../rig-2/rig.rs"]
 mod rig;
 
 use rig::*;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
+const ID: &str = "9b1f03aa5c7e2d41";
+const OTHER_ID: &str = "77c0e19b40d2a65f";
+const PATH: &str = "/booking-import";
+const BODY: &str = r#"{"hotel":17}"#;
+/// How long the import runs: the running times of the site are 1.2 to 2.3 s on average.
+const RUN: Duration = Duration::from_millis(2_000);
+const PATIENCE: Duration = Duration::from_secs(25);
+
 fn main() {
     run_case(|record, folder| {
-        let discovery = Discovery::start(record, Vec::new());
-        let settings = settings(0);
-        let functions = "[functions.push-rates]\nclass = \"rate-push\"\n[functions.close-sales]\nclass = \"rate-push\"\nslots = 2\n";
-        let options = Options {
-            gearman: Some(functions.into()),
-            ..Options::default()
-        };
-        let dispatcher =
-            Dispatcher::start_with(record, folder, "n0", discovery.address, &settings, &options)?;
-        let to = dispatcher.gearman;
-        let given: Arc<Mutex<Vec<(String, String, String)>>> = Arc::default();
-        let trouble = has_trouble();
-        let worker = |name: &'static str, function: &'static str, drops: bool| {
-            let given = given.clone();
-            gearman_worker(record, name, to, &[function], move |peer, job| {
-                lock(&given).push((name.into(), job.function.clone(), shown(&job.workload)));
-                thread::sleep(ms(300));
-                if drops {
-                    return Ok(false);
-                }
-                let result = format!(
-                    "{} done by {name} as {}",
-                    shown(&job.workload),
-                    job.function
-                );
-                peer.send(WORK_COMPLETE, &[&job.handle, result.as_bytes()])?;
-                Ok(true)
-            })
-            .map_err(|error| error.to_string())
+        let conduct: Arc<Conduct> = Arc::new(|worker, wire, request, _| {
+            worker.run(wire, request, RUN)?;
+            Ok(true)
+        });
+        let arrivals = Arc::default();
+        let worker = start_worker(record, "s-01", 5, &arrivals, conduct);
+        let discovery = Discovery::start(record, vec![worker.entry()]);
+        let dispatcher = Dispatcher::start(record, folder, "n0", discovery.address, &settings(0))?;
+        let to = dispatcher.address;
+        let headers = |id: &'static str| {
+            [
+                ("X-Txn", id),
+                ("X-Lane", "booking-import"),
+                ("X-Remaining-Ms", "20000"),
+            ]
         };
-        worker("w-push", "push-rates", trouble)?;
-        thread::sleep(ms(300));
-        worker("w-close", "close-sales", false)?;
-        thread::sleep(ms(300));
-        let mut client =
-            Gearman::connect(to, Duration::from_secs(15)).map_err(|error| error.to_string())?;
-        let outcome = gearman_submit(
-            record,
-            "client",
-            &mut client,
-            "push-rates",
-            "-",
-            b"rates of hotel 17",
-        );
-        if !has_trouble() && outcome.end != "complete" {
-            return Err(format!("the job ended with {}", outcome.end));
-        }
+        let log = record.clone();
+        let owner =
+            thread::spawn(move || submit(&log, "client A", to, PATH, &headers(ID), BODY, PATIENCE));
+        thread::sleep(ms(500));
+        // Without the disruption, client B has an id of its own.
+        let id = if has_trouble() { ID } else { OTHER_ID };
+        let bad = submit(record, "client B", to, PATH, &headers(id), BODY, PATIENCE);
+        let owner = owner.join().map_err(|_| "client A has failed")?;
+        let of_b = lock(&arrivals)
+            .iter()
+            .filter(|arrival| arrival.id == OTHER_ID)
+            .count();
+        record.note(format!("requests of client B that a worker got: {of_b}"));
         let mut breaks = Vec::new();
-        for (name, function, workload) in lock(&given).iter() {
-            if function != "push-rates" {
-                breaks.push(format!("{name} was given {workload:?} as a job of {function}, which nobody submitted; the client was told {} {:?}", outcome.end, shown(&outcome.data)));
-            }
+        if bad.status == 200 && of_b == 0 {
+            let Answer { body, after, .. } = &bad;
+            breaks.push(format!(
+                "client B was served {body:?} after {after:?}, as though its request had run: it is the answer of client A"
+            ));
+        }
+        if owner.status != 200 || !has_trouble() && bad.status != 200 {
+            return Err(format!(
+                "a sound client was not served: {} {}",
+                owner.status, bad.status
+            ));
         }
         Ok(breaks)
     });
