Reject the id of an open request, whatever its content

Cause: the core took equal content under an open id for the owner's own repeat.

Change: a request id stands for one submission; any other under it is rejected with 409 while it is open, on either frontend. Only unique ids stand for a job and join, as Gearman's protocol says.

--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -31,7 +31,7 @@
 use pumiceway_decisions::rules::Denial;
 use requests::OpenRequest;
 use shutdown::Shutdown;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 use timers::Timers;
 
@@ -50,8 +50,8 @@
     requests: BTreeMap<RequestId, OpenRequest>,
     /// The request that each waiting client waits for.
     waiting: HashMap<RequestHandle, RequestId>,
-    /// Open requests by the request id that the client assigned.
-    request_ids: HashMap<String, RequestId>,
+    /// The request ids of open requests, which the clients assigned.
+    request_ids: HashSet<String>,
     consumed_ids: ConsumedIds,
     cache: IdempotencyCache,
     /// Back-off for requests that the core sheds itself; `None` if the settings disable
@@ -90,7 +90,7 @@
             last_id: 0,
             requests: BTreeMap::new(),
             waiting: HashMap::new(),
-            request_ids: HashMap::new(),
+            request_ids: HashSet::new(),
             consumed_ids: ConsumedIds::new(limits.max_consumed_ids),
             cache: IdempotencyCache::new(limits.cache),
             retry_after: settings
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -1,7 +1,8 @@
 //! Open requests, from their submission to their final response.
 //!
-//! A request is kept until it is done and has no attempt in flight. A client that sends a request
-//! again joins the open one: by its unique id, or by its request id if the content is the same.
+//! A request is kept until it is done and has no attempt in flight. Its unique id stands for the job:
+//! whoever submits it again joins the open request. Its request id stands for this one submission:
+//! every other submission under it is rejected, since its client may be another one.
 
 use super::attempts::ATTEMPT_MARGIN;
 use super::timers::Timer;
@@ -46,13 +47,6 @@
             .iter()
             .any(|attempt| attempt.execution != Execution::NeverRan)
     }
-
-    /// Whether a submission under the same request id repeats this open request: neither has a
-    /// unique id, and class and job are equal.
-    fn is_repeat(&self, request: &ClientRequest) -> bool {
-        let without_unique_id = self.unique_id.is_none() && request.unique_id.is_none();
-        without_unique_id && !self.is_done && self.class == request.class && self.job == request.job
-    }
 }
 
 /// When a request with this deadline must get its final response.
@@ -96,8 +90,9 @@
         }
         let remaining = self.limited_remaining(&request);
         let deadline = self.shutdown.deadline(now, remaining);
-        if let Some(&open) = self.request_ids.get(&request.job.id) {
-            self.join_by_request_id(open, handle, &request, deadline, effects);
+        if self.request_ids.contains(&request.job.id) {
+            let response = ClientResponse::Rejected(Rejection::IdInUse);
+            effects.push(Effect::Respond { handle, response });
         } else if self.consumed_ids.contains(now, &request.job.id) {
             let response = ClientResponse::Failed(Failure::MayHaveRunBefore);
             effects.push(Effect::Respond { handle, response });
@@ -137,7 +132,7 @@
         deadline: Timestamp,
     ) {
         let id = RequestId(self.next_id());
-        self.request_ids.insert(request.job.id.clone(), id);
+        self.request_ids.insert(request.job.id.clone());
         if let Some(unique_id) = &request.unique_id {
             self.cache.begin(unique_id.clone(), id);
         }
@@ -176,38 +171,6 @@
         }
     }
 
-    /// Handles a submission under the request id of an open request: a repeat joins that request,
-    /// any other request is rejected.
-    fn join_by_request_id(
-        &mut self,
-        id: RequestId,
-        handle: RequestHandle,
-        repeat: &ClientRequest,
-        deadline: Timestamp,
-        effects: &mut Vec<Effect>,
-    ) {
-        let request = self
-            .requests
-            .get_mut(&id)
-            .filter(|request| request.is_repeat(repeat));
-        let Some(request) = request else {
-            let response = ClientResponse::Rejected(Rejection::IdInUse);
-            return effects.push(Effect::Respond { handle, response });
-        };
-        request.handles.push(handle);
-        self.waiting.insert(handle, id);
-        // The earliest deadline of all waiting clients applies.
-        if deadline < request.deadline {
-            self.timers.cancel(
-                final_response_at(request.deadline),
-                Timer::RequestDeadline(id),
-            );
-            self.timers
-                .set(final_response_at(deadline), Timer::RequestDeadline(id));
-            request.deadline = deadline;
-        }
-    }
-
     /// Finishes the request once its last client has disconnected: it is not sent again, and the
     /// balancer cancels its attempts in flight if the settings allow it. With a unique id, a request
     /// that may have run continues up to its deadline instead, as a client may still ask for the
--- a/crates/core/src/response.rs
+++ b/crates/core/src/response.rs
@@ -56,7 +56,7 @@
 /// Why a request is not accepted. Clients receive the message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum Rejection {
-    /// Another open request has the same id but different content.
+    /// An open request has the same id.
     #[error("the id is in use")]
     IdInUse,
     /// An endpoint reported that the job is invalid.
