Tell endpoints one name for an effect, over HTTP and over Gearman

Seen by callers: a keyed booking was applied twice.

Cause: JOB_ASSIGN_UNIQ carried the request id of a job instead of its key, and the key itself was percent-encoded over HTTP only. A worker that grabs without unique ids was told no key at all.

Change: Job::repeat_id says by which name endpoints recognise a repeat, for both wires; the key is the client's text, byte for byte. Keyed jobs go only to workers that ask for unique ids; a unique id that no header can carry is rejected where it is a key. The unique id moved into the job.

--- a/crates/core/src/idempotency_cache.rs
+++ b/crates/core/src/idempotency_cache.rs
@@ -1,7 +1,8 @@
 //! The idempotency cache: running requests and cached responses by unique id, for clients that send
 //! a request again under the same unique id.
 
-use crate::{ClientResponse, Failure, UniqueId};
+use crate::request::UniqueId;
+use crate::{ClientResponse, Failure};
 use pumiceway_decisions::api::{RequestId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
@@ -52,7 +53,7 @@
 const ENTRY_BYTES: usize = 768;
 
 fn entry_bytes(id: &UniqueId) -> usize {
-    ENTRY_BYTES + 2 * id.0.len()
+    ENTRY_BYTES + 2 * id.name.len()
 }
 
 /// Entries by unique id. While the cache is full, responses to idempotent requests are evicted, those
--- a/crates/core/src/idempotency_cache/tests.rs
+++ b/crates/core/src/idempotency_cache/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use pumiceway_decisions::api::ClassId;
 
 fn cache(max_entries: usize, max_bytes: usize) -> IdempotencyCache {
     IdempotencyCache::new(IdempotencyCacheLimits {
@@ -15,7 +16,14 @@
 }
 
 fn id(number: u64) -> UniqueId {
-    UniqueId(number.to_string())
+    named(number.to_string())
+}
+
+fn named(name: String) -> UniqueId {
+    UniqueId {
+        class: ClassId(0),
+        name,
+    }
 }
 
 /// Memory is bounded without evicting entries: a request that may have run could run again.
@@ -101,7 +109,7 @@
 fn long_unique_ids_count_towards_a_limit_of_their_own() {
     let mut cache = cache(100, 10);
     cache.limits.max_entry_bytes = 4_000;
-    let long = |number: u64| UniqueId(format!("{number}{}", "x".repeat(1_000)));
+    let long = |number: u64| named(format!("{number}{}", "x".repeat(1_000)));
     cache.begin(long(0), RequestId(0));
     assert_eq!(cache.look_up(at(0), &long(1)), Lookup::Full);
     assert_eq!(cache.look_up(at(0), &id(1)), Lookup::New);
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -7,9 +7,8 @@
 use super::attempts::ATTEMPT_MARGIN;
 use super::timers::Timer;
 use crate::idempotency_cache::Lookup;
-use crate::{
-    ClientRequest, ClientResponse, Core, Effect, Failure, Job, Rejection, RequestHandle, UniqueId,
-};
+use crate::request::UniqueId;
+use crate::{ClientRequest, ClientResponse, Core, Effect, Failure, Job, Rejection, RequestHandle};
 use pumiceway_decisions::api::{
     self, Class, ClassId, Idempotency, IncomingRequest, RequestId, Timestamp,
 };
@@ -73,8 +72,8 @@
         request: ClientRequest,
         effects: &mut Vec<Effect>,
     ) {
-        if let Some(unique_id) = &request.unique_id {
-            match self.cache.look_up(now, unique_id) {
+        if let Some(unique_id) = request.unique_id() {
+            match self.cache.look_up(now, &unique_id) {
                 Lookup::New => {}
                 Lookup::Running(running) => return self.join_by_unique_id(running, handle),
                 Lookup::Cached(response) => {
@@ -110,7 +109,7 @@
     fn can_remember_id(&mut self, now: Timestamp, request: &ClientRequest) -> bool {
         let class = self.settings.classes.get(request.class.0);
         let is_remembered =
-            request.unique_id.is_none() && class.and_then(consumed_id_lifetime).is_some();
+            request.job.unique_id.is_none() && class.and_then(consumed_id_lifetime).is_some();
         !is_remembered || self.consumed_ids.has_room(now, self.requests.len())
     }
 
@@ -133,7 +132,8 @@
     ) {
         let id = RequestId(self.next_id());
         self.request_ids.insert(request.job.id.clone());
-        if let Some(unique_id) = &request.unique_id {
+        let unique_id = request.unique_id();
+        if let Some(unique_id) = &unique_id {
             self.cache.begin(unique_id.clone(), id);
         }
         self.timers
@@ -155,7 +155,7 @@
             class: request.class,
             deadline,
             job: request.job,
-            unique_id: request.unique_id,
+            unique_id,
             handles: vec![handle],
             attempts: vec![],
             is_done: false,
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -9,16 +9,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestHandle(pub u64);
 
-/// Gearman's unique id: a client that sends a request again under the same unique id joins the
-/// running request or gets the cached response.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct UniqueId(pub String);
+/// Identifies a job among those of all clients: a client that submits it again joins the running
+/// request or gets the cached response.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct UniqueId {
+    pub(crate) class: ClassId,
+    pub(crate) name: String,
+}
 
 /// The job of a request, as it is sent to endpoints.
+///
+/// Three names may identify it, each for another purpose. The id stands for one submission of the
+/// job. The unique id stands for the job itself; only Gearman clients give one. The idempotency key
+/// stands for the effect of the job, and endpoints recognise a repeat by it; see
+/// [`repeat_id`](Job::repeat_id).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Job {
-    /// The request id, assigned by the client.
+    /// The request id, assigned by the client, or by the frontend where clients assign none.
     pub id: String,
+    /// Gearman's unique id, if the client gave one.
+    pub unique_id: Option<String>,
     /// Path and query.
     pub path: String,
     /// Sent unchanged with each attempt, so that endpoints can recognise a repeat.
@@ -33,6 +43,14 @@
 const FNV_PRIME: u64 = 0x100_0000_01b3;
 
 impl Job {
+    /// The name by which an endpoint recognises a repeat of the job. It is the same with each attempt
+    /// and over each protocol: the idempotency key if there is one. Otherwise it is what the client
+    /// calls the job.
+    pub fn repeat_id(&self) -> &str {
+        let name = self.idempotency_key.as_ref().or(self.unique_id.as_ref());
+        name.unwrap_or(&self.id)
+    }
+
     /// The affinity key: a hash of the last segment of the path, or `None` if the path has only one
     /// segment, which is the class.
     pub fn affinity_key(&self) -> Option<u64> {
@@ -64,6 +82,15 @@
     pub tenant: Option<TenantId>,
     /// The job to run.
     pub job: Arc<Job>,
-    /// Unique id, if the client gave one.
-    pub unique_id: Option<UniqueId>,
+}
+
+impl ClientRequest {
+    /// The identity of its job, if the client gave it a unique id.
+    pub(crate) fn unique_id(&self) -> Option<UniqueId> {
+        let name = self.job.unique_id.clone()?;
+        Some(UniqueId {
+            class: self.class,
+            name,
+        })
+    }
 }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -182,6 +182,7 @@
 pub fn request(class: usize, id: &str, remaining: Duration) -> ClientRequest {
     let job = Job {
         id: id.to_owned(),
+        unique_id: None,
         path: format!("/c{class}/k"),
         idempotency_key: Some("key".to_owned()),
         body: Bytes::new(),
@@ -193,7 +194,6 @@
         memory: 0.0,
         tenant: None,
         job: Arc::new(job),
-        unique_id: None,
     }
 }
 
--- a/crates/core/tests/jobs.rs
+++ b/crates/core/tests/jobs.rs
@@ -9,6 +9,7 @@
     let affinity_key = |path: &str| {
         let job = Job {
             id: "a".into(),
+            unique_id: None,
             path: path.into(),
             idempotency_key: None,
             body: Bytes::new(),
--- a/crates/decisions/src/api/ids.rs
+++ b/crates/decisions/src/api/ids.rs
@@ -20,7 +20,7 @@
 }
 
 /// Index into [`Settings::classes`](super::Settings::classes).
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct ClassId(pub usize);
 
 /// Index of a zone, below [`Settings::zone_count`](super::Settings::zone_count).
--- a/crates/net/src/event_loop/tests.rs
+++ b/crates/net/src/event_loop/tests.rs
@@ -42,6 +42,7 @@
     Job {
         id: format!("t{n}"),
         path: "/c".into(),
+        unique_id: None,
         idempotency_key: None,
         body: Bytes::new(),
     }
@@ -61,7 +62,6 @@
         memory: 0.0,
         tenant: None,
         job: Arc::new(job(n)),
-        unique_id: None,
     };
     let message = LoopMessage::Submitted {
         handle: RequestHandle(n),
--- a/crates/net/src/frontend/gearman/clients/submission.rs
+++ b/crates/net/src/frontend/gearman/clients/submission.rs
@@ -5,7 +5,7 @@
 use crate::frontend::gearman::codec::{MAX_WORKLOAD, Packet};
 use crate::frontend::gearman::payload::copy_workload;
 use bytes::Bytes;
-use pumiceway_core::{ClientRequest, Job, UniqueId};
+use pumiceway_core::{ClientRequest, Job};
 use pumiceway_decisions::settings::RepeatSemantics;
 use std::fmt::Write;
 use std::sync::Arc;
@@ -23,6 +23,9 @@
 pub enum SubmitError {
     Background,
     UnknownFunction(String),
+    /// Endpoints would get another key than the unique id, as white space at the ends of a header is
+    /// lost.
+    InvalidUniqueId,
     TooLarge,
 }
 
@@ -34,6 +37,10 @@
                 "nobody would get the final answer; submit it in the foreground".to_owned(),
             ),
             SubmitError::UnknownFunction(name) => ("UNKNOWN_FUNCTION", name),
+            SubmitError::InvalidUniqueId => (
+                "INVALID_UNIQUE_ID",
+                "the unique id of such a job must not begin or end with white space".to_owned(),
+            ),
             SubmitError::TooLarge => (
                 "TOO_LARGE",
                 format!("a workload holds at most {MAX_WORKLOAD} bytes"),
@@ -56,6 +63,9 @@
         let Some(function) = frontend.functions.get(&self.function) else {
             return Err(SubmitError::UnknownFunction(self.function.clone()));
         };
+        if is_keyed(frontend, function) && self.unique_id.trim() != self.unique_id {
+            return Err(SubmitError::InvalidUniqueId);
+        }
         if self.workload.len() > MAX_WORKLOAD {
             return Err(SubmitError::TooLarge);
         }
@@ -71,14 +81,13 @@
         frontend: &GearmanFrontend,
     ) -> Option<ClientRequest> {
         let body = copy_workload(&frontend.memory, &self.workload)?;
-        let class = &frontend.settings.classes[function.class.0];
         let unique_id =
             Some(self.unique_id).filter(|unique_id| !unique_id.is_empty() && unique_id != "-");
-        let key = unique_id
-            .as_deref()
-            .map_or_else(|| id.clone(), percent_encode);
-        // Endpoints of such a class detect a repeated job by its idempotency key.
-        let idempotency_key = matches!(class.repeats, RepeatSemantics::Keyed).then(|| key.clone());
+        let name = unique_id.as_ref().unwrap_or(&id);
+        let class_name = &frontend.settings.classes[function.class.0].name;
+        let path = format!("/{class_name}/{}", percent_encode(name));
+        // The key of an HTTP client and the unique id of a Gearman client are the same key.
+        let idempotency_key = is_keyed(frontend, function).then(|| name.clone());
         Some(ClientRequest {
             class: function.class,
             remaining: function.deadline,
@@ -86,17 +95,22 @@
             memory: 0.0,
             tenant: None,
             job: Arc::new(Job {
-                path: format!("/{}/{key}", class.name),
                 id,
+                unique_id,
+                path,
                 idempotency_key,
                 body,
             }),
-            // Unique ids are distinct per class. The zero byte cannot occur in a unique id.
-            unique_id: unique_id.map(|unique_id| UniqueId(format!("{}\0{unique_id}", class.name))),
         })
     }
 }
 
+/// Whether endpoints recognise a repeat of the function's jobs by their idempotency keys.
+fn is_keyed(frontend: &GearmanFrontend, function: Function) -> bool {
+    let class = &frontend.settings.classes[function.class.0];
+    matches!(class.repeats, RepeatSemantics::Keyed)
+}
+
 /// Encodes a unique id as a segment of a path.
 fn percent_encode(unique_id: &str) -> String {
     let mut segment = String::new();
--- a/crates/net/src/frontend/gearman/workers/kinds.rs
+++ b/crates/net/src/frontend/gearman/workers/kinds.rs
@@ -4,7 +4,7 @@
 //! sets, but a class may allow certain machine kinds only. Each set of classes therefore gets its
 //! own machine kind, and every class allows the kinds of the sets that contain it.
 
-use pumiceway_decisions::api::{ClassId, KindId, Settings, ZoneId};
+use pumiceway_decisions::api::{ClassId, Idempotency, KindId, Settings, ZoneId};
 
 /// Maximum number of classes of a deployment with worker sessions: each set of classes is a kind,
 /// so the number of kinds doubles with each class.
@@ -16,6 +16,8 @@
     /// Index of the first of these kinds; the others follow it.
     first_kind: usize,
     zone: ZoneId,
+    /// The classes with idempotency keys, as a bit mask of their indices.
+    keyed_classes: usize,
 }
 
 impl SessionKinds {
@@ -28,6 +30,7 @@
         let kinds = SessionKinds {
             first_kind: settings.kind_count,
             zone: settings.home_zone.unwrap_or_default(),
+            keyed_classes: keyed_classes(settings),
         };
         let class_sets = 1..1usize << class_count;
         settings.kind_count += class_sets.len();
@@ -56,8 +59,21 @@
         self.zone
     }
 
+    /// Whether a worker has to be told the idempotency key of a job of this class, as its unique id.
+    pub(super) fn is_keyed(&self, class: ClassId) -> bool {
+        self.keyed_classes & (1 << class.0) != 0
+    }
+
     /// The kind of a non-empty set of classes, given as a bit mask of their indices.
     fn kind_of_set(&self, class_set: usize) -> KindId {
         KindId(self.first_kind + class_set - 1)
     }
 }
+
+fn keyed_classes(settings: &Settings) -> usize {
+    let is_keyed = |idempotency| matches!(idempotency, Idempotency::Keyed { .. });
+    let classes = settings.classes.iter().enumerate();
+    classes
+        .filter(|(_, class)| is_keyed(class.idempotency))
+        .fold(0, |set, (index, _)| set | 1 << index)
+}
--- a/crates/net/src/frontend/gearman/workers/mod.rs
+++ b/crates/net/src/frontend/gearman/workers/mod.rs
@@ -20,6 +20,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+use tracing::info;
 
 /// Time limit for a worker to grab an offered job; after that the attempt ends as if the connection
 /// to the endpoint had failed.
@@ -116,9 +117,12 @@
         }
     }
 
-    /// `GRAB_JOB`: returns the response, which assigns the offered job if there is one.
+    /// `GRAB_JOB` or `GRAB_JOB_UNIQ`: returns the response, which assigns the offered job if there is
+    /// one.
     pub fn grab_job(&self, session_id: u64, with_unique: bool) -> Packet {
         let mut inner = self.lock();
+        inner.set_takes_unique_ids(session_id, with_unique);
+        let kinds = inner.kinds;
         let Some(worker) = inner.sessions.get_mut(&session_id) else {
             return Packet::NoJob;
         };
@@ -131,7 +135,8 @@
         else {
             return Packet::NoJob;
         };
-        let Some(function) = worker.abilities.get(&class.0).cloned() else {
+        let function = worker.abilities.get(&class.0).cloned();
+        let Some(function) = function.filter(|_| worker.may_run(class, &kinds)) else {
             inner.attempt_ended(attempt, AttemptOutcome::Rejected);
             return Packet::NoJob;
         };
@@ -141,7 +146,7 @@
         Packet::JobAssign {
             handle,
             function,
-            unique_id: with_unique.then(|| job.id.clone()),
+            unique_id: with_unique.then(|| job.repeat_id().to_owned()),
             workload: job.body.clone(),
         }
     }
@@ -194,10 +199,11 @@
     /// Offers an attempt to a worker, and wakes the worker if it sleeps.
     pub fn start(&self, session_id: u64, attempt: AttemptId, class: ClassId, job: Arc<Job>) {
         let mut inner = self.lock();
+        let kinds = inner.kinds;
         let Some(worker) = inner.sessions.get_mut(&session_id) else {
             return inner.attempt_ended(attempt, AttemptOutcome::ConnectFailed);
         };
-        if worker.is_busy() || !worker.can_do(class) {
+        if worker.is_busy() || !worker.may_run(class, &kinds) {
             return inner.attempt_ended(attempt, AttemptOutcome::Rejected);
         }
         worker.offered = Some(OfferedJob {
@@ -298,6 +304,24 @@
         number
     }
 
+    /// Records whether the worker asks for unique ids, on which depends what it may run.
+    fn set_takes_unique_ids(&mut self, session_id: u64, takes_unique_ids: bool) {
+        let Some(worker) = self.sessions.get_mut(&session_id) else {
+            return;
+        };
+        if worker.takes_unique_ids == takes_unique_ids {
+            return;
+        }
+        worker.takes_unique_ids = takes_unique_ids;
+        info!(
+            frontend = "gearman",
+            peer = worker.outbox.peer(),
+            takes_unique_ids,
+            "jobs with idempotency keys are for workers that ask for unique ids"
+        );
+        self.update_endpoint(session_id, EndpointState::Ready);
+    }
+
     /// Reports the endpoint of a session to the core, in the given state unless the worker cannot
     /// take a job; see [`Session::endpoint`].
     fn update_endpoint(&self, session_id: u64, state: EndpointState) {
--- a/crates/net/src/frontend/gearman/workers/session.rs
+++ b/crates/net/src/frontend/gearman/workers/session.rs
@@ -28,6 +28,8 @@
     pub client_id: String,
     /// Names of the functions that the worker can do, by the index of their class.
     pub abilities: BTreeMap<usize, String>,
+    /// The worker asks for the unique ids of its jobs, by `GRAB_JOB_UNIQ`; supposed until it does not.
+    pub takes_unique_ids: bool,
     /// The worker has sent `PRE_SLEEP` and waits for a `NOOP` packet.
     pub is_sleeping: bool,
     pub offered: Option<OfferedJob>,
@@ -43,6 +45,7 @@
             opened_at,
             client_id: "-".to_owned(),
             abilities: BTreeMap::new(),
+            takes_unique_ids: true,
             is_sleeping: false,
             offered: None,
             running: HashMap::new(),
@@ -53,6 +56,12 @@
         self.abilities.contains_key(&class.0)
     }
 
+    /// Whether the worker may be given jobs of a class that it can do. Those with idempotency keys are
+    /// only for workers that are told the key: others would run a repeat again.
+    pub fn may_run(&self, class: ClassId, kinds: &SessionKinds) -> bool {
+        self.can_do(class) && (self.takes_unique_ids || !kinds.is_keyed(class))
+    }
+
     pub fn is_busy(&self) -> bool {
         self.offered.is_some() || !self.running.is_empty()
     }
@@ -63,7 +72,7 @@
             .is_some_and(|offered| offered.attempt == attempt)
     }
 
-    /// Describes the session as an endpoint. It is gone while the worker has no functions.
+    /// Describes the session as an endpoint. It is gone while the worker may run no jobs.
     pub fn endpoint(
         &self,
         session_id: u64,
@@ -71,7 +80,8 @@
         kinds: &SessionKinds,
         skips_slow_start: bool,
     ) -> Endpoint {
-        let kind = kinds.kind_of(self.abilities.keys().map(|&class| ClassId(class)));
+        let classes = self.abilities.keys().map(|&class| ClassId(class));
+        let kind = kinds.kind_of(classes.filter(|&class| self.may_run(class, kinds)));
         Endpoint {
             name: format!("gearman:{:04}", self.endpoint_number),
             address: EndpointAddress::Session(session_id),
--- a/crates/net/src/frontend/http/request.rs
+++ b/crates/net/src/frontend/http/request.rs
@@ -220,11 +220,11 @@
             tenant: self.tenant,
             job: Arc::new(Job {
                 id: self.id,
+                unique_id: None,
                 path: self.path,
                 idempotency_key: self.idempotency_key,
                 body,
             }),
-            unique_id: None,
         }
     }
 }
--- a/crates/net/src/upstream/client.rs
+++ b/crates/net/src/upstream/client.rs
@@ -136,9 +136,10 @@
             .header(headers::REMAINING_MS, remaining.as_millis() as u64)
             .body(RequestBody::default())?;
         if let Some(key) = &job.idempotency_key {
-            request
-                .headers_mut()
-                .insert(headers::IDEMPOTENCY_KEY, HeaderValue::from_str(key)?);
+            request.headers_mut().insert(
+                headers::IDEMPOTENCY_KEY,
+                HeaderValue::from_bytes(key.as_bytes())?,
+            );
         }
         Ok(request)
     }
--- a/crates/net/src/upstream/tests/support.rs
+++ b/crates/net/src/upstream/tests/support.rs
@@ -69,6 +69,7 @@
     Job {
         id: id.into(),
         path: "/c".into(),
+        unique_id: None,
         idempotency_key: None,
         body: vec![b'x'; body_bytes].into(),
     }
--- a/crates/test-support/src/fleet/clients.rs
+++ b/crates/test-support/src/fleet/clients.rs
@@ -184,7 +184,6 @@
             memory: requirements.memory,
             tenant: request.tenant.map(TenantId),
             job: self.draw_job(id),
-            unique_id: None,
         };
         self.schedule_early_disconnect(incarnation, handle);
         let submitted = Event::RequestSubmitted {
@@ -229,6 +228,7 @@
         Arc::new(Job {
             id: id.to_string(),
             path: format!("/c/{path}"),
+            unique_id: None,
             idempotency_key: None,
             body: Bytes::new(),
         })
