Remember what may have run for 5 minutes, and anew with each repeat

Cause: the id of a request that may have run was remembered for the deadline of its class and no longer, however often it was sent. A deadline does not say for how long a client may send.

Change: one memory for both frontends and both identities (request id, unique id): 5 minutes from the end and from each repeat, whatever the class; longer where a deadline or window is. What was shed after it may have run is remembered too; a job with a unique id fails then, as its retry has the same one. Fingerprints in generations take 32 bytes where an id took 176; what finds no room is shed before it runs, as before.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,5 +50,5 @@
 pub use limits::CoreLimits;
 pub use overview::{ClassOverview, Overview};
 pub use reducer::Core;
-pub use request::{ClientRequest, Job, RequestHandle};
+pub use request::{ClientRequest, IdOrigin, Job, RequestHandle};
 pub use response::{ClientResponse, Failure, Rejection};
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -29,7 +29,7 @@
 use pumiceway_decisions::Balancer;
 use pumiceway_decisions::api::{RequestId, Settings, SettingsError, Timestamp};
 use pumiceway_decisions::rules::Denial;
-use requests::OpenRequest;
+use requests::{OpenRequest, consumed_id_lifetime};
 use shutdown::Shutdown;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
@@ -91,7 +91,10 @@
             requests: BTreeMap::new(),
             waiting: HashMap::new(),
             request_ids: HashSet::new(),
-            consumed_ids: ConsumedIds::new(limits.max_consumed_ids),
+            consumed_ids: ConsumedIds::new(
+                limits.max_consumed_ids,
+                consumed_id_lifetime(&settings, limits.consumed_id_lifetime),
+            ),
             cache: IdempotencyCache::new(limits.cache),
             retry_after: settings
                 .retry_after
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -7,10 +7,10 @@
 use super::attempts::ATTEMPT_MARGIN;
 use super::timers::Timer;
 use crate::idempotency_cache::Lookup;
-use crate::request::UniqueId;
+use crate::request::{Identity, UniqueId};
 use crate::{ClientRequest, ClientResponse, Core, Effect, Failure, Job, Rejection, RequestHandle};
 use pumiceway_decisions::api::{
-    self, Class, ClassId, Idempotency, IncomingRequest, RequestId, Timestamp,
+    self, ClassId, Idempotency, IncomingRequest, RequestId, Settings, Timestamp,
 };
 use pumiceway_decisions::rules::{AttemptRecord, Execution};
 use std::sync::Arc;
@@ -25,7 +25,8 @@
     pub(super) class: ClassId,
     pub(super) deadline: Timestamp,
     pub(super) job: Arc<Job>,
-    unique_id: Option<UniqueId>,
+    /// By what it is recognised if it is submitted again.
+    identity: Option<Identity>,
     /// The clients that wait for the response.
     pub(super) handles: Vec<RequestHandle>,
     pub(super) attempts: Vec<AttemptRecord>,
@@ -40,8 +41,16 @@
             .any(|attempt| attempt.execution == Execution::InFlight)
     }
 
+    /// The unique id of its job, if it has one.
+    pub(super) fn unique_id(&self) -> Option<&UniqueId> {
+        match &self.identity {
+            Some(Identity::Job(unique_id)) => Some(unique_id),
+            Some(Identity::Request(_)) | None => None,
+        }
+    }
+
     /// Whether any attempt may have run or may still run.
-    fn may_have_run(&self) -> bool {
+    pub(super) fn may_have_run(&self) -> bool {
         self.attempts
             .iter()
             .any(|attempt| attempt.execution != Execution::NeverRan)
@@ -53,15 +62,25 @@
     deadline.saturating_sub(FINAL_RESPONSE_MARGIN)
 }
 
-/// How long the id of a request that may have run is remembered: while a client may wait for its
-/// response, and for keyed classes also while endpoints deduplicate repeats. `None` for idempotent
-/// classes, which may run any number of times.
-fn consumed_id_lifetime(class: &Class) -> Option<Duration> {
-    match class.idempotency {
-        Idempotency::Idempotent => None,
-        Idempotency::Keyed { window, .. } => Some(class.deadline.max(window)),
-        Idempotency::NonIdempotent => Some(class.deadline),
-    }
+/// How long a request that may have run is remembered: at least this long, at least while a client
+/// may wait for its response, and for keyed classes also while endpoints deduplicate repeats.
+pub(super) fn consumed_id_lifetime(settings: &Settings, at_least: Duration) -> Duration {
+    let times = settings
+        .classes
+        .iter()
+        .map(|class| match class.idempotency {
+            Idempotency::Keyed { window, .. } => class.deadline.max(window),
+            Idempotency::Idempotent | Idempotency::NonIdempotent => class.deadline,
+        });
+    times.fold(at_least, Duration::max)
+}
+
+/// What is known of a request that was submitted before.
+enum Earlier {
+    /// It is open, and this submission joins it.
+    Open(RequestId),
+    /// This submission gets this response.
+    Ended(ClientResponse),
 }
 
 impl Core {
@@ -72,45 +91,49 @@
         request: ClientRequest,
         effects: &mut Vec<Effect>,
     ) {
+        let response = match self.find_earlier(now, &request) {
+            Some(Earlier::Open(open)) => return self.join(open, handle),
+            Some(Earlier::Ended(response)) => response,
+            None if self.can_remember(now, &request) => {
+                return self.open_request(now, handle, request);
+            }
+            None => ClientResponse::Overloaded {
+                retry_after: self.retry_after,
+            },
+        };
+        effects.push(Effect::Respond { handle, response });
+    }
+
+    /// Decides whether a submission repeats an earlier one, and what it gets if so.
+    fn find_earlier(&mut self, now: Timestamp, request: &ClientRequest) -> Option<Earlier> {
+        let identity = request.identity();
+        let is_consumed = identity.is_some_and(|id| self.consumed_ids.renew(now, &id));
         if let Some(unique_id) = request.unique_id() {
             match self.cache.look_up(now, &unique_id) {
-                Lookup::New => {}
-                Lookup::Running(running) => return self.join_by_unique_id(running, handle),
-                Lookup::Cached(response) => {
-                    return effects.push(Effect::Respond { handle, response });
-                }
-                Lookup::Full => {
-                    let response = ClientResponse::Overloaded {
-                        retry_after: self.retry_after,
-                    };
-                    return effects.push(Effect::Respond { handle, response });
-                }
+                Lookup::Running(running) => return Some(Earlier::Open(running)),
+                Lookup::Cached(response) => return Some(Earlier::Ended(response)),
+                Lookup::New | Lookup::Full => {}
             }
         }
-        let remaining = self.limited_remaining(&request);
-        let deadline = self.shutdown.deadline(now, remaining);
-        if self.request_ids.contains(&request.job.id) {
-            let response = ClientResponse::Rejected(Rejection::IdInUse);
-            effects.push(Effect::Respond { handle, response });
-        } else if self.consumed_ids.contains(now, &request.job.id) {
+        if is_consumed {
             let response = ClientResponse::Failed(Failure::MayHaveRunBefore);
-            effects.push(Effect::Respond { handle, response });
-        } else if !self.can_remember_id(now, &request) {
-            let response = ClientResponse::Overloaded {
-                retry_after: self.retry_after,
-            };
-            effects.push(Effect::Respond { handle, response });
-        } else {
-            self.open_request(handle, request, remaining, deadline);
+            return Some(Earlier::Ended(response));
         }
+        let is_open = self.request_ids.contains(&request.job.id);
+        is_open.then_some(Earlier::Ended(ClientResponse::Rejected(Rejection::IdInUse)))
     }
 
-    /// Whether the id of a request can be remembered once the request may have run, or need not be.
-    fn can_remember_id(&mut self, now: Timestamp, request: &ClientRequest) -> bool {
-        let class = self.settings.classes.get(request.class.0);
-        let is_remembered =
-            request.job.unique_id.is_none() && class.and_then(consumed_id_lifetime).is_some();
-        !is_remembered || self.consumed_ids.has_room(now, self.requests.len())
+    /// Whether a new request can be remembered for as long as it has to be.
+    fn can_remember(&mut self, now: Timestamp, request: &ClientRequest) -> bool {
+        let unique_id = request.unique_id();
+        let has_cache_room = unique_id.is_none_or(|id| self.cache.look_up(now, &id) == Lookup::New);
+        let must_not_repeat = !self.is_idempotent(request.class) && request.identity().is_some();
+        has_cache_room && (!must_not_repeat || self.consumed_ids.has_room(now, self.requests.len()))
+    }
+
+    pub(super) fn is_idempotent(&self, class: ClassId) -> bool {
+        let class = self.settings.classes.get(class.0);
+        class.is_some_and(|class| class.idempotency == Idempotency::Idempotent)
     }
 
     /// The remaining time, limited to the deadline of the class. The balancer derives the age of a
@@ -123,17 +146,13 @@
         })
     }
 
-    fn open_request(
-        &mut self,
-        handle: RequestHandle,
-        request: ClientRequest,
-        remaining: Duration,
-        deadline: Timestamp,
-    ) {
+    fn open_request(&mut self, now: Timestamp, handle: RequestHandle, request: ClientRequest) {
+        let remaining = self.limited_remaining(&request);
+        let deadline = self.shutdown.deadline(now, remaining);
         let id = RequestId(self.next_id());
         self.request_ids.insert(request.job.id.clone());
-        let unique_id = request.unique_id();
-        if let Some(unique_id) = &unique_id {
+        let identity = request.identity();
+        if let Some(Identity::Job(unique_id)) = &identity {
             self.cache.begin(unique_id.clone(), id);
         }
         self.timers
@@ -155,7 +174,7 @@
             class: request.class,
             deadline,
             job: request.job,
-            unique_id,
+            identity,
             handles: vec![handle],
             attempts: vec![],
             is_done: false,
@@ -164,7 +183,7 @@
     }
 
     /// Adds a client that sends a running request again under its unique id.
-    fn join_by_unique_id(&mut self, id: RequestId, handle: RequestHandle) {
+    fn join(&mut self, id: RequestId, handle: RequestHandle) {
         if let Some(request) = self.requests.get_mut(&id) {
             request.handles.push(handle);
             self.waiting.insert(handle, id);
@@ -183,9 +202,9 @@
             return;
         };
         request.handles.retain(|waiting| *waiting != handle);
-        let continues = request.unique_id.is_some() && request.may_have_run();
+        let continues = request.unique_id().is_some() && request.may_have_run();
         if request.handles.is_empty() && !continues && !request.is_done {
-            if let Some(unique_id) = &request.unique_id {
+            if let Some(unique_id) = request.unique_id() {
                 self.cache.forget(unique_id);
             }
             self.remember_consumed_id(now, id);
@@ -225,7 +244,7 @@
         else {
             return;
         };
-        if let Some(unique_id) = request.unique_id.clone() {
+        if let Some(unique_id) = request.unique_id().cloned() {
             let class = self.settings.classes.get(request.class.0);
             let is_idempotent =
                 class.is_some_and(|class| class.idempotency == Idempotency::Idempotent);
@@ -238,28 +257,25 @@
                 response: response.clone(),
             });
         }
-        // After `Overloaded` or `Rejected` a retry is harmless, so the id stays usable.
-        if matches!(
-            response,
-            ClientResponse::Served(_) | ClientResponse::Failed(_)
-        ) {
+        // After `Rejected` a retry is harmless, so the id stays usable.
+        if !matches!(response, ClientResponse::Rejected(_)) {
             self.remember_consumed_id(now, id);
         }
         self.finish_request(id);
     }
 
-    /// Remembers the id of a done request that may have run, so that it does not run again, unless
-    /// its class is idempotent.
+    /// Remembers a done request that may have run, so that it does not run again, unless its class is
+    /// idempotent. Where endpoints recognise a repeat, its client may have been told to retry; that is
+    /// a new request, with the same key.
     fn remember_consumed_id(&mut self, now: Timestamp, id: RequestId) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        if request.unique_id.is_some() || !request.may_have_run() {
-            return;
-        }
-        let class = self.settings.classes.get(request.class.0);
-        if let Some(lifetime) = class.and_then(consumed_id_lifetime) {
-            self.consumed_ids.insert(now + lifetime, &request.job.id);
+        if let Some(identity) = &request.identity
+            && request.may_have_run()
+            && !self.is_idempotent(request.class)
+        {
+            self.consumed_ids.insert(now, identity);
         }
     }
 
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -17,6 +17,15 @@
     pub(crate) name: String,
 }
 
+/// By what a request is recognised that a client submits again.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Identity {
+    /// Its request id, which its client assigned.
+    Request(String),
+    /// The unique id of its job.
+    Job(UniqueId),
+}
+
 /// The job of a request, as it is sent to endpoints.
 ///
 /// Three names may identify it, each for another purpose. The id stands for one submission of the
@@ -25,7 +34,7 @@
 /// [`repeat_id`](Job::repeat_id).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Job {
-    /// The request id, assigned by the client, or by the frontend where clients assign none.
+    /// The request id, assigned as [`ClientRequest::id_origin`] says.
     pub id: String,
     /// Gearman's unique id, if the client gave one.
     pub unique_id: Option<String>,
@@ -66,6 +75,15 @@
     }
 }
 
+/// Who assigned the id of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdOrigin {
+    /// The client, which may submit a request under it again.
+    Client,
+    /// The frontend, which draws a new one for each request.
+    Frontend,
+}
+
 /// A request as a frontend submits it.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
@@ -80,6 +98,8 @@
     pub memory: f64,
     /// Tenant, if any.
     pub tenant: Option<TenantId>,
+    /// Who assigned the id of the job.
+    pub id_origin: IdOrigin,
     /// The job to run.
     pub job: Arc<Job>,
 }
@@ -93,4 +113,13 @@
             name,
         })
     }
+
+    /// By what the request is recognised if it is submitted again; `None` if it cannot be.
+    pub(crate) fn identity(&self) -> Option<Identity> {
+        match (self.unique_id(), self.id_origin) {
+            (Some(unique_id), _) => Some(Identity::Job(unique_id)),
+            (None, IdOrigin::Client) => Some(Identity::Request(self.job.id.clone())),
+            (None, IdOrigin::Frontend) => None,
+        }
+    }
 }
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -193,6 +193,7 @@
         slots: 1.0,
         memory: 0.0,
         tenant: None,
+        id_origin: IdOrigin::Client,
         job: Arc::new(job),
     }
 }
--- a/crates/net/src/config/memory.rs
+++ b/crates/net/src/config/memory.rs
@@ -20,8 +20,8 @@
 const ALLOCATOR_DIVISOR: usize = 8;
 /// What an endpoint on a list takes: its record, its estimates, its client.
 pub(crate) const BYTES_PER_ENDPOINT: usize = 1 << 10;
-/// What a remembered request id takes.
-const BYTES_PER_CONSUMED_ID: usize = 176;
+/// What a remembered request id takes, while the table that holds it grows.
+const BYTES_PER_CONSUMED_ID: usize = 32;
 /// Endpoints may take this share of the budget, in percent.
 const ENDPOINTS_SHARE: usize = 40;
 /// Consumed ids and cached results may each take one in this many parts of the budget.
--- a/crates/net/src/event_loop/tests.rs
+++ b/crates/net/src/event_loop/tests.rs
@@ -5,7 +5,7 @@
 use super::*;
 use crate::config::Config;
 use bytes::Bytes;
-use pumiceway_core::{AttemptOutcome, ClassOverview, ClientRequest, CoreLimits};
+use pumiceway_core::{AttemptOutcome, ClassOverview, ClientRequest, CoreLimits, IdOrigin};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
@@ -61,6 +61,7 @@
         slots: 1.0,
         memory: 0.0,
         tenant: None,
+        id_origin: IdOrigin::Client,
         job: Arc::new(job(n)),
     };
     let message = LoopMessage::Submitted {
--- a/crates/net/src/frontend/gearman/clients/submission.rs
+++ b/crates/net/src/frontend/gearman/clients/submission.rs
@@ -5,7 +5,7 @@
 use crate::frontend::gearman::codec::{MAX_WORKLOAD, Packet};
 use crate::frontend::gearman::payload::copy_workload;
 use bytes::Bytes;
-use pumiceway_core::{ClientRequest, Job};
+use pumiceway_core::{ClientRequest, IdOrigin, Job};
 use pumiceway_decisions::settings::RepeatSemantics;
 use std::fmt::Write;
 use std::sync::Arc;
@@ -94,6 +94,7 @@
             slots: function.slots,
             memory: 0.0,
             tenant: None,
+            id_origin: IdOrigin::Frontend,
             job: Arc::new(Job {
                 id,
                 unique_id,
--- a/crates/net/src/frontend/http/request.rs
+++ b/crates/net/src/frontend/http/request.rs
@@ -12,7 +12,7 @@
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
 use hyper::body::Body as _;
-use pumiceway_core::{ClientRequest, Job};
+use pumiceway_core::{ClientRequest, IdOrigin, Job};
 use pumiceway_decisions::api::{ClassId, TenantId};
 use pumiceway_decisions::settings::{DeploymentSettings, RepeatSemantics};
 use pumiceway_memory::{AccountedBuffer, Holder, MemoryAccount, Revoked};
@@ -218,6 +218,7 @@
             slots: self.labels.slots,
             memory: self.labels.memory,
             tenant: self.tenant,
+            id_origin: IdOrigin::Client,
             job: Arc::new(Job {
                 id: self.id,
                 unique_id: None,
--- a/crates/test-support/src/fleet/clients.rs
+++ b/crates/test-support/src/fleet/clients.rs
@@ -11,7 +11,7 @@
 use super::summary::WeightTotals;
 use super::workload::Requirements;
 use bytes::Bytes;
-use pumiceway_core::{ClientRequest, Event, Job, RequestHandle};
+use pumiceway_core::{ClientRequest, Event, IdOrigin, Job, RequestHandle};
 use pumiceway_decisions::api::{ClassId, Tenant, TenantId, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
@@ -183,6 +183,7 @@
             slots: requirements.slots,
             memory: requirements.memory,
             tenant: request.tenant.map(TenantId),
+            id_origin: IdOrigin::Client,
             job: self.draw_job(id),
         };
         self.schedule_early_disconnect(incarnation, handle);
