Gearman: wait while memory is short for a moment, and refuse no answer

Cause: a draw says drawn, wait or revoked. The queue for a peer took "wait" for "revoked", though others were giving up memory, dropped the packet and closed the connection.

To queue a packet is never refused; with much queued, the peer's packets are not handled. In the budget a settled account waits for others instead of being revoked, and two lost wake-ups are gone.

--- a/crates/memory/src/account.rs
+++ b/crates/memory/src/account.rs
@@ -33,7 +33,7 @@
     }
 
     /// Draws an amount if it is available. If not, others are revoked, or this account if its burden
-    /// is the highest. Until it draws again or is dropped, the account has a place in the queue.
+    /// is the highest and it is not settled. Until it draws again or is dropped, the account has a place in the queue.
     ///
     /// # Errors
     ///
@@ -76,6 +76,17 @@
         state.add(self.id, bytes, now);
     }
 
+    /// Draws an amount that must not be refused, whether or not the account may be revoked.
+    pub fn draw_unrefused(&mut self, bytes: usize, now: Instant) {
+        self.budget.state().add(self.id, bytes, now);
+    }
+
+    /// Declares how much other accounts, which may be settled, return if this one gives up. It counts
+    /// towards the burden of this one.
+    pub fn set_releases(&mut self, bytes: usize) {
+        self.budget.state().set_releases(self.id, bytes);
+    }
+
     /// Returns an amount.
     pub fn give_back(&mut self, bytes: usize) {
         self.budget.state().subtract(self.id, bytes);
--- a/crates/memory/src/state.rs
+++ b/crates/memory/src/state.rs
@@ -48,6 +48,8 @@
 struct Account {
     holder: Holder,
     held: usize,
+    /// What other accounts return if this one gives up.
+    releases: usize,
     /// Since when it holds what it holds.
     since: Instant,
     standing: Standing,
@@ -59,7 +61,7 @@
     total: usize,
     drawn: usize,
     drawn_by: [usize; Holder::ALL.len()],
-    /// What revoked accounts still hold, by kind.
+    /// What revoked accounts still hold and release, by kind.
     returning_by: [usize; Holder::ALL.len()],
     highest: usize,
     revoked_count: u64,
@@ -99,6 +101,7 @@
         let account = Account {
             holder,
             held: 0,
+            releases: 0,
             since: now,
             standing: Standing::Revocable,
             waker: None,
@@ -117,6 +120,7 @@
         if account.standing == Standing::Revoked {
             return Draw::Revoked;
         }
+        let is_settled = account.standing == Standing::Settled;
         let (holder, held) = (account.holder, account.held + bytes);
         while let Some((scope, excess)) = self.excess(id, holder, held, bytes) {
             if excess <= self.being_returned(scope) {
@@ -124,6 +128,11 @@
                 return Draw::Waiting;
             }
             let first = self.first_to_revoke(id, bytes, scope, now);
+            if first == id && is_settled {
+                // It waits for others that are settled.
+                self.enqueue(id, holder, bytes);
+                return Draw::Waiting;
+            }
             self.revoke(first);
             if first == id {
                 return Draw::Revoked;
@@ -148,7 +157,7 @@
         let limit = holder.limit(self.total, held);
         let drawn = self.drawn_by[holder as usize];
         let over_limit = (drawn + ahead(Scope::Kind(holder))).saturating_sub(limit);
-        if over_limit > 0 {
+        if over_limit > 0 && limit < self.total {
             Some((Scope::Kind(holder), over_limit))
         } else if over_total > 0 {
             Some((Scope::All, over_total))
@@ -176,8 +185,11 @@
         }
     }
 
-    fn stop_waiting(&mut self, id: AccountId) {
+    /// Removes an account from the queue; returns whether it waited.
+    fn stop_waiting(&mut self, id: AccountId) -> bool {
+        let waiting = self.waiting.len();
         self.waiting.retain(|waiter| waiter.id != id);
+        self.waiting.len() < waiting
     }
 
     /// Wakes all that wait; they draw in the order of the queue.
@@ -189,7 +201,7 @@
         wakers.for_each(Waker::wake);
     }
 
-    /// What revoked accounts still hold.
+    /// What revoked accounts still hold and release.
     fn being_returned(&self, scope: Scope) -> usize {
         match scope {
             Scope::Kind(holder) => self.returning_by[holder as usize],
@@ -208,7 +220,8 @@
     ) -> AccountId {
         let burden = |id: AccountId, account: &Account| {
             let drawn = if id == drawing { bytes } else { 0 };
-            Burden::new(account.held + drawn, account.since, now)
+            let bytes = account.held + account.releases + drawn;
+            Burden::new(bytes, account.since, now)
         };
         let revocable = self.accounts.iter().filter(|&(_, account)| {
             account.standing == Standing::Revocable && scope.includes(account.holder)
@@ -221,7 +234,7 @@
         self.stop_waiting(id);
         if let Some(account) = self.accounts.get_mut(&id) {
             account.standing = Standing::Revoked;
-            self.returning_by[account.holder as usize] += account.held;
+            self.returning_by[account.holder as usize] += account.held + account.releases;
             self.revoked_count += 1;
             if let Some(waker) = account.waker.take() {
                 waker.wake();
@@ -246,6 +259,17 @@
         }
     }
 
+    pub(crate) fn set_releases(&mut self, id: AccountId, bytes: usize) {
+        let Some(account) = self.accounts.get_mut(&id) else {
+            return;
+        };
+        let before = std::mem::replace(&mut account.releases, bytes);
+        if account.standing == Standing::Revoked {
+            let returning = &mut self.returning_by[account.holder as usize];
+            *returning = *returning + bytes - before;
+        }
+    }
+
     /// Returns an amount, or all that the account holds if that is less.
     pub(crate) fn subtract(&mut self, id: AccountId, bytes: usize) {
         let Some(account) = self.accounts.get_mut(&id) else {
@@ -264,8 +288,13 @@
     }
 
     pub(crate) fn close(&mut self, id: AccountId) {
-        self.stop_waiting(id);
+        let was_waiting = self.stop_waiting(id);
+        self.set_releases(id, 0);
         self.subtract(id, usize::MAX);
+        if was_waiting {
+            // Those behind it in the queue may draw what it waited for.
+            self.wake_waiting();
+        }
         self.accounts.remove(&id);
     }
 
@@ -277,9 +306,12 @@
         {
             account.standing = standing;
             account.since = now;
-            if standing == Standing::Settled {
+            match standing {
                 // It is never woken again, and would keep the memory of its task.
-                account.waker = None;
+                Standing::Settled => account.waker = None,
+                // Those that wait may have it revoked.
+                Standing::Revocable => self.wake_waiting(),
+                Standing::Revoked => {}
             }
         }
     }
--- a/crates/memory/tests/budget.rs
+++ b/crates/memory/tests/budget.rs
@@ -290,3 +290,86 @@
     account.settle(now).unwrap();
     assert_eq!(Arc::strong_count(&counting), 1);
 }
+
+/// A waker, and what counts how often it is woken.
+fn counting_waker() -> (Arc<CountingWaker>, Waker) {
+    let counting = Arc::new(CountingWaker::default());
+    (counting.clone(), Waker::from(counting))
+}
+
+// Guards against giving up what was begun, because others that are settled have not returned their
+// memory yet.
+#[test]
+fn a_settled_account_waits_for_others_that_are_settled_or_become_revocable() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let mut held = holding(&budget, Holder::Response, 150_000, start);
+    held.settle(start).unwrap();
+    let mut waiting = budget.open(Holder::Response, start);
+    waiting.settle(start).unwrap();
+    let (woken, waker) = counting_waker();
+    let mut cx = Context::from_waker(&waker);
+    assert!(waiting.poll_draw(20_000, start, &mut cx).is_pending());
+    assert!(!waiting.is_revoked() && !held.is_revoked());
+    held.unsettle(start);
+    assert_eq!(woken.0.load(Ordering::Relaxed), 1);
+    assert!(waiting.poll_draw(20_000, start, &mut cx).is_pending());
+    assert!(held.is_revoked());
+    drop(held);
+    assert_eq!(woken.0.load(Ordering::Relaxed), 2);
+    assert_eq!(
+        waiting.poll_draw(20_000, start, &mut cx),
+        Poll::Ready(Ok(()))
+    );
+}
+
+#[test]
+fn what_must_not_be_refused_is_drawn_over_the_total_and_changes_no_standing() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let mut account = holding(&budget, Holder::Outbox, 1_000, start);
+    account.draw_unrefused(TOTAL, start);
+    assert_eq!(account.held(), TOTAL + 1_000);
+    let mut other = budget.open(Holder::Response, start + SECOND);
+    assert_eq!(other.try_draw(1, start + SECOND), Err(DrawError::Waiting));
+    assert!(account.is_revoked());
+    account.draw_unrefused(1, start + SECOND);
+    assert!(account.is_revoked());
+}
+
+// A queue holds little itself, and the results in it are settled.
+#[test]
+fn what_others_return_with_an_account_counts_for_it() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let now = start + SECOND;
+    let mut result = holding(&budget, Holder::Response, 130_000, start);
+    result.settle(start).unwrap();
+    let mut queue = holding(&budget, Holder::Outbox, 300, start);
+    queue.set_releases(130_000);
+    let large = holding(&budget, Holder::Response, 20_000, start);
+    // More than the large one holds. With a limit of its own kind, the drawing account would be revoked.
+    let mut drawing = budget.open(Holder::Response, now);
+    assert_eq!(drawing.try_draw(50_000, now), Err(DrawError::Waiting));
+    assert!(queue.is_revoked() && !large.is_revoked());
+    // The queue gives up the result before anything else.
+    queue.set_releases(0);
+    drop(result);
+    assert_eq!(drawing.try_draw(50_000, now), Ok(()));
+    assert!(!large.is_revoked());
+}
+
+// Otherwise it would wait until something else is returned.
+#[test]
+fn an_account_behind_one_that_stops_waiting_is_woken() {
+    let (budget, start) = (MemoryBudget::new(TOTAL), Instant::now());
+    let slow = holding(&budget, Holder::Response, 100_000, start);
+    let now = start + SECOND;
+    let mut first = budget.open(Holder::Response, now);
+    assert_eq!(first.try_draw(100_000, now), Err(DrawError::Waiting));
+    let mut second = budget.open(Holder::Response, now);
+    let (woken, waker) = counting_waker();
+    let mut cx = Context::from_waker(&waker);
+    assert!(second.poll_draw(50_000, now, &mut cx).is_pending());
+    drop(first);
+    assert_eq!(woken.0.load(Ordering::Relaxed), 1);
+    assert_eq!(second.poll_draw(50_000, now, &mut cx), Poll::Ready(Ok(())));
+    drop(slow);
+}
--- a/crates/net/src/frontend/gearman/admin.rs
+++ b/crates/net/src/frontend/gearman/admin.rs
@@ -2,9 +2,13 @@
 
 use super::GearmanFrontend;
 use crate::config::Function;
+use bytes::Bytes;
 use pumiceway_core::Overview;
 use std::fmt::Write;
 
+/// The response to an admin command for whose response there is no memory.
+pub(super) const MEMORY_SHORT: Bytes = Bytes::from_static(b"ERR MEMORY_SHORT not+enough+memory\n");
+
 /// Returns the response to an admin command.
 pub(super) async fn respond(frontend: &GearmanFrontend, line: &str) -> String {
     match line.split_whitespace().next().unwrap_or_default() {
--- a/crates/net/src/frontend/gearman/clients/job.rs
+++ b/crates/net/src/frontend/gearman/clients/job.rs
@@ -85,11 +85,14 @@
             AttemptUpdate::Fraction(fraction) => {
                 let numerator = (fraction.clamp(0.0, 1.0) * PROGRESS_DENOMINATOR as f64) as u64;
                 self.set_running(statuses, numerator);
-                self.outbox.send(Packet::WorkStatus {
-                    handle,
-                    numerator,
-                    denominator: PROGRESS_DENOMINATOR,
-                });
+                // A client that has much to read is told a later one.
+                if !self.outbox.is_backlogged() {
+                    self.outbox.send(Packet::WorkStatus {
+                        handle,
+                        numerator,
+                        denominator: PROGRESS_DENOMINATOR,
+                    });
+                }
             }
             AttemptUpdate::Data(data) => self.outbox.send(Packet::WorkData { handle, data }),
             AttemptUpdate::Warning(data) => self.outbox.send(Packet::WorkWarning { handle, data }),
--- a/crates/net/src/frontend/gearman/clients/mod.rs
+++ b/crates/net/src/frontend/gearman/clients/mod.rs
@@ -15,6 +15,7 @@
 use super::codec::Packet;
 use super::outbox::Outbox;
 use crate::config::Function;
+use bytes::Bytes;
 use job::{JobPermit, JobSender};
 use pumiceway_core::ClientResponse;
 use std::time::Duration;
@@ -79,18 +80,22 @@
         }
     }
 
-    /// Starts a job, or sends an error if it is not accepted.
-    pub(super) fn submit(&mut self, submission: Submission) {
+    /// Accepts a job, or sends an error if it is not acceptable.
+    pub(super) fn accept(&mut self, submission: Submission) -> Option<AcceptedJob> {
         if let Some(rejection) = &self.rejection {
-            return self.outbox.send(rejection.clone());
+            self.outbox.send(rejection.clone());
+            return None;
         }
         match submission.check(self.frontend) {
-            Ok(function) => self.start(submission, function),
-            Err(error) => self.outbox.send(error.into()),
+            Ok(function) => self.create(submission, function),
+            Err(error) => {
+                self.outbox.send(error.into());
+                None
+            }
         }
     }
 
-    fn start(&mut self, submission: Submission, function: Function) {
+    fn create(&mut self, submission: Submission, function: Function) -> Option<AcceptedJob> {
         let id = format!("{:016x}", fastrand::u64(..));
         let handle = format!("H:pumiceway:{id}");
         self.outbox.send(Packet::JobCreated {
@@ -100,7 +105,6 @@
             job_count,
             max_jobs,
             statuses,
-            events,
             ..
         } = self.frontend;
         let permit = JobPermit::acquire(job_count, *max_jobs, self.tasks.len(), statuses, &handle);
@@ -109,17 +113,56 @@
             handle,
             wants_exceptions: self.wants_exceptions,
         };
-        let request = permit.and_then(|permit| {
-            let request = submission.into_request(id, function, self.frontend)?;
-            Some((permit, request))
-        });
-        let Some((permit, request)) = request else {
-            return sender.send_response(ClientResponse::Overloaded {
-                retry_after: Some(TOO_MANY_JOBS_RETRY_AFTER),
-            });
+        let Some(permit) = permit else {
+            sender.send_response(too_many_jobs());
+            return None;
         };
+        Some(AcceptedJob {
+            id,
+            submission,
+            function,
+            permit,
+            sender,
+        })
+    }
+
+    /// Starts a job with this copy of its workload; without one, it is shed.
+    pub(super) fn start(&mut self, accepted: AcceptedJob, body: Option<Bytes>) {
+        let AcceptedJob {
+            id,
+            submission,
+            function,
+            permit,
+            sender,
+        } = accepted;
+        let Some(body) = body else {
+            return sender.send_response(too_many_jobs());
+        };
+        let request = submission.into_request(id, body, function, self.frontend);
         let (update_sender, updates) = mpsc::unbounded_channel();
-        let pending = events.submit(request, Some(update_sender));
+        let pending = self.frontend.events.submit(request, Some(update_sender));
         self.tasks.spawn(sender.forward(permit, updates, pending));
     }
 }
+
+/// A job that was accepted. It is not started yet: memory has to be drawn for it first.
+pub(super) struct AcceptedJob {
+    id: String,
+    submission: Submission,
+    function: Function,
+    permit: JobPermit,
+    sender: JobSender,
+}
+
+impl AcceptedJob {
+    /// The workload, which shares the buffer that it was received into.
+    pub(super) fn workload(&self) -> &[u8] {
+        &self.submission.workload
+    }
+}
+
+fn too_many_jobs() -> ClientResponse {
+    ClientResponse::Overloaded {
+        retry_after: Some(TOO_MANY_JOBS_RETRY_AFTER),
+    }
+}
--- a/crates/net/src/frontend/gearman/clients/submission.rs
+++ b/crates/net/src/frontend/gearman/clients/submission.rs
@@ -3,7 +3,6 @@
 use crate::config::Function;
 use crate::frontend::gearman::GearmanFrontend;
 use crate::frontend::gearman::codec::{MAX_WORKLOAD, Packet};
-use crate::frontend::gearman::payload::copy_workload;
 use bytes::Bytes;
 use pumiceway_core::{ClientRequest, IdOrigin, Job};
 use pumiceway_decisions::settings::RepeatSemantics;
@@ -72,15 +71,14 @@
         Ok(function)
     }
 
-    /// Converts the job to a request; `id` is a new id for it. Returns `None` if there is no memory
-    /// for it.
+    /// Converts the job to a request with this id and body.
     pub fn into_request(
         self,
         id: String,
+        body: Bytes,
         function: Function,
         frontend: &GearmanFrontend,
-    ) -> Option<ClientRequest> {
-        let body = copy_workload(&frontend.memory, &self.workload)?;
+    ) -> ClientRequest {
         let unique_id =
             Some(self.unique_id).filter(|unique_id| !unique_id.is_empty() && unique_id != "-");
         let name = unique_id.as_ref().unwrap_or(&id);
@@ -88,7 +86,7 @@
         let path = format!("/{class_name}/{}", percent_encode(name));
         // The key of an HTTP client and the unique id of a Gearman client are the same key.
         let idempotency_key = is_keyed(frontend, function).then(|| name.clone());
-        Some(ClientRequest {
+        ClientRequest {
             class: function.class,
             remaining: function.deadline,
             slots: function.slots,
@@ -102,7 +100,7 @@
                 idempotency_key,
                 body,
             }),
-        })
+        }
     }
 }
 
--- a/crates/net/src/frontend/gearman/connection.rs
+++ b/crates/net/src/frontend/gearman/connection.rs
@@ -18,28 +18,29 @@
 //! The connection is closed at once when:
 //!
 //! - the peer closes it;
-//! - the peer does not read, and its outbox overflows;
+//! - the peer does not read, for too long or while memory is short;
 //! - the dispatcher shuts down and nothing that was read is left to answer.
 //!
 //! Packets are handled in turns: after a few of them, the connection waits until the event loop has
 //! handled what they have caused. A peer that sends without pause can thus neither fill the queue of
-//! the event loop nor hold up others.
+//! the event loop nor hold up others. While much is queued for the peer, no more of its packets are
+//! handled. A packet whose data needs memory waits for it, and its connection with it.
 
 use super::clients::{ClientJobs, Submission};
 use super::codec::{MAX_WORKLOAD, Packet, Received};
 use super::input::Input;
 use super::input_end::InputEnd;
 use super::outbox::Outbox;
-use super::payload::{copy_result, copy_update};
+use super::payload::{copy_outbound, copy_result, copy_workload};
 use super::turn::Turn;
 use super::workers::progress_update;
 use super::{GearmanFrontend, admin};
 use crate::frontend::admission::{self, ClientConnection};
 use crate::frontend::{CloseSignal, wait_for_close};
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use pumiceway_core::{AttemptOutcome, AttemptUpdate};
 use pumiceway_decisions::api::Timestamp;
-use pumiceway_memory::{Holder, MemoryAccount};
+use pumiceway_memory::{Holder, MemoryAccount, Revoked};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -165,7 +166,7 @@
                 return;
             }
             tokio::select! {
-                received = self.input.next() => {
+                received = self.input.next(), if self.handles_input() => {
                     client_connection.request_received();
                     match received {
                         None => return,
@@ -173,20 +174,22 @@
                         Some(Err(end)) => self.end_input(end).await,
                     }
                 }
+                () = self.outbox.drained() => self.input.restart_packet_deadline(),
                 () = self.client_jobs.next_completed() => {}
                 () = client_connection.eviction_requested(), if self.input.is_open() => {
                     self.end_input(InputEnd::TooManyConnections).await;
                 }
                 _ = stall_check.tick() => {
-                    if self.input.is_packet_overdue() {
+                    if self.handles_input() && self.input.is_packet_overdue() {
                         self.end_input(InputEnd::PacketTimeout).await;
                     }
                 }
-                () = self.outbox.overflowed() => {
+                end = self.outbox.ended() => {
                     warn!(
                         frontend = "gearman",
                         peer = self.outbox.peer(),
-                        "the peer does not read its packets; closing its connection"
+                        reason = %end,
+                        "nothing more can be sent to the peer; closing its connection"
                     );
                     return;
                 }
@@ -200,6 +203,12 @@
         }
     }
 
+    /// Whether packets of the peer are handled, or its input is only discarded. If much is queued for
+    /// the peer, it has to read first.
+    fn handles_input(&self) -> bool {
+        !self.input.is_open() || !self.outbox.is_backlogged()
+    }
+
     /// Starts the shutdown: jobs are rejected from now on, and packets that have begun are received
     /// until `until`.
     fn shut_down(&mut self, until: Instant) {
@@ -266,11 +275,7 @@
     /// the turn has caused.
     async fn handle_in_turn(&mut self, received: Received) {
         self.turn.count(&received);
-        let starts_job = matches!(received, Received::Packet(Packet::SubmitJob { .. }));
-        // A job that is read after its client has left is not started.
-        if !(starts_job && admission::is_read_closed(self.input.stream())) {
-            self.handle_received(received).await;
-        }
+        self.handle_received(received).await;
         if self.turn.end_if_over() {
             self.frontend.events.caught_up().await;
         }
@@ -280,13 +285,16 @@
         match received {
             Received::AdminCommand(line) => {
                 let response = admin::respond(self.frontend, &line).await;
-                self.outbox.send_text(response);
+                match copy_outbound(&self.frontend.memory, response.as_bytes()).await {
+                    Ok(response) => self.outbox.send_text(response),
+                    Err(Revoked) => self.outbox.send_text(admin::MEMORY_SHORT),
+                }
             }
-            Received::Packet(packet) => self.handle_packet(packet),
+            Received::Packet(packet) => self.handle_packet(packet).await,
         }
     }
 
-    fn handle_packet(&mut self, packet: Packet) {
+    async fn handle_packet(&mut self, packet: Packet) {
         let session_id = self.session_id;
         let workers = &self.frontend.workers;
         match packet {
@@ -303,11 +311,11 @@
                 denominator,
             } => self.job_updated(&handle, progress_update(numerator, denominator)),
             Packet::WorkData { handle, data } => {
-                self.job_updated(&handle, AttemptUpdate::Data(copy_update(&data)));
+                self.job_sent(&handle, &data, AttemptUpdate::Data).await;
             }
             // WORK_EXCEPTION does not end the job; the WORK_FAIL that follows it does.
             Packet::WorkWarning { handle, data } | Packet::WorkException { handle, data } => {
-                self.job_updated(&handle, AttemptUpdate::Warning(copy_update(&data)));
+                self.job_sent(&handle, &data, AttemptUpdate::Warning).await;
             }
             Packet::WorkComplete { handle, data } if data.len() > MAX_WORKLOAD => {
                 self.send_error("TOO_LARGE", "the result is too large");
@@ -324,16 +332,22 @@
                 function,
                 unique_id,
                 workload,
-            } => self.client_jobs.submit(Submission {
-                background,
-                function,
-                unique_id,
-                workload,
-            }),
+            } => {
+                let submission = Submission {
+                    background,
+                    function,
+                    unique_id,
+                    workload,
+                };
+                self.submit(submission).await;
+            }
             Packet::GetStatus { handle } => {
                 self.outbox.send(self.frontend.statuses.response(handle));
             }
-            Packet::EchoReq { data } => self.outbox.send(Packet::EchoRes { data }),
+            Packet::EchoReq { data } => match copy_outbound(&self.frontend.memory, &data).await {
+                Ok(data) => self.outbox.send(Packet::EchoRes { data }),
+                Err(Revoked) => self.outbox.send(Packet::from(&InputEnd::MemoryShort)),
+            },
             Packet::OptionReq { option } => self.client_jobs.set_option(option),
             // ALL_YOURS has no effect here, and the codec decodes no packet that only the
             // dispatcher sends.
@@ -354,6 +368,25 @@
         }
     }
 
+    /// Starts a job, unless its client has left by the time that there is memory for it.
+    async fn submit(&mut self, submission: Submission) {
+        let Some(accepted) = self.client_jobs.accept(submission) else {
+            return;
+        };
+        let body = copy_workload(&self.frontend.memory, accepted.workload()).await;
+        if !admission::is_read_closed(self.input.stream()) {
+            self.client_jobs.start(accepted, body.ok());
+        }
+    }
+
+    /// Forwards data of a job. Without memory for it the job fails, as its result would lack a part.
+    async fn job_sent(&self, handle: &str, data: &[u8], update: fn(Bytes) -> AttemptUpdate) {
+        match copy_outbound(&self.frontend.memory, data).await {
+            Ok(data) => self.job_updated(handle, update(data)),
+            Err(Revoked) => self.job_ended(handle, AttemptOutcome::Error),
+        }
+    }
+
     fn job_updated(&self, handle: &str, update: AttemptUpdate) {
         let workers = &self.frontend.workers;
         let is_running = workers.job_updated(self.session_id, handle, update);
@@ -383,5 +416,7 @@
     }
 }
 
+#[cfg(test)]
+mod memory_tests;
 #[cfg(test)]
 mod tests;
--- a/crates/net/src/frontend/gearman/connection/tests.rs
+++ b/crates/net/src/frontend/gearman/connection/tests.rs
@@ -9,7 +9,7 @@
 use pumiceway_core::{ClientResponse, IdempotencyCacheLimits};
 use pumiceway_decisions::api::ClassId;
 use pumiceway_memory::MemoryBudget;
-use pumiceway_test_support::SETTINGS;
+use pumiceway_test_support::{SETTINGS, encode_packet};
 use std::io::{Read, Write};
 use tokio::sync::watch;
 
@@ -19,15 +19,15 @@
 /// Time after which a connection without a request may be evicted.
 const EVICTABLE_AFTER: Duration = Duration::from_millis(60);
 
-fn submit_job(function: &str) -> Vec<u8> {
-    let body = format!("{function}\0\0x");
-    let mut packet = b"\0REQ\0\0\0\x07".to_vec();
-    packet.extend((body.len() as u32).to_be_bytes());
-    packet.extend(body.bytes());
-    packet
+pub(super) fn submit_job(function: &str) -> Vec<u8> {
+    encode_packet(&format!("[SUBMIT_JOB {function}||x]"))
 }
 
 fn frontend(events: &EventSender) -> GearmanFrontend {
+    frontend_with(events, MemoryBudget::new(1 << 20))
+}
+
+pub(super) fn frontend_with(events: &EventSender, memory: MemoryBudget) -> GearmanFrontend {
     let text = format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#);
     let mut config = Config::from_text(&text, "config", |_| None).unwrap();
     let kinds = SessionKinds::add(&mut config.settings).unwrap();
@@ -39,19 +39,18 @@
     let gearman = GearmanConfig {
         listen: "127.0.0.1:0".parse().unwrap(),
         connections: 1,
-        jobs: 8,
+        jobs: 1_024,
         queue: 8,
         skips_slow_start: true,
         cache_limits: IdempotencyCacheLimits::default(),
         functions: [("rate-push".to_owned(), function)].into(),
     };
     let workers = WorkerSessions::new(events.clone(), kinds, true);
-    let memory = MemoryBudget::new(1 << 20);
     GearmanFrontend::new(events.clone(), config.deployment, gearman, workers, memory)
 }
 
 /// A client, and its connection on the side of the frontend.
-async fn connect(closing: CloseSignal) -> (std::net::TcpStream, AcceptedConnection) {
+pub(super) async fn connect(closing: CloseSignal) -> (std::net::TcpStream, AcceptedConnection) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     let (stream, peer) = listener.accept().await.unwrap();
@@ -122,7 +121,7 @@
 }
 
 /// The packets in the bytes: the type of each, or its code if it is an error.
-fn packet_names(mut bytes: &[u8]) -> Vec<String> {
+pub(super) fn packet_names(mut bytes: &[u8]) -> Vec<String> {
     let mut names = Vec::new();
     while let Some((header, rest)) = bytes.split_at_checked(HEADER_LENGTH) {
         let length = u32::from_be_bytes(header[8..].try_into().unwrap()) as usize;
@@ -139,8 +138,9 @@
 
 const HEADER_LENGTH: usize = 12;
 const ERROR: u8 = 19;
-const JOB_CREATED: &str = "8";
-const WORK_COMPLETE: &str = "13";
+pub(super) const JOB_CREATED: &str = "8";
+pub(super) const WORK_COMPLETE: &str = "13";
+
 // Guards against issue 49: a job that was read in the turn in which its connection was evicted was
 // dropped.
 #[tokio::test(start_paused = true)]
--- a/crates/net/src/frontend/gearman/input.rs
+++ b/crates/net/src/frontend/gearman/input.rs
@@ -155,6 +155,13 @@
         Ok(())
     }
 
+    /// Gives the peer its whole time for a packet that it has begun: none was read for a while.
+    pub(super) fn restart_packet_deadline(&mut self) {
+        if self.packet_deadline.is_some() {
+            self.packet_deadline = Some(Instant::now() + REQUEST_TIMEOUT);
+        }
+    }
+
     async fn discard_until_closed(&mut self) {
         let stream = self.stream();
         let mut buffer = [0; DISCARD_BUFFER_BYTES];
--- a/crates/net/src/frontend/gearman/payload.rs
+++ b/crates/net/src/frontend/gearman/payload.rs
@@ -1,36 +1,66 @@
-//! Copies of the data of packets. The data of a packet shares its buffer with other packets, which may
-//! be much larger, so whatever outlives its packet is copied.
+//! Copies of the data of packets, and the memory that they take. The data of a packet shares its
+//! buffer with other packets, which may be much larger, so whatever outlives its packet is copied.
+//!
+//! Whoever makes data draws memory for it, and waits while memory is short, before the peer is read
+//! on. A copy pays for itself until its last clone is dropped.
 
+use crate::frontend::admission::REQUEST_TIMEOUT;
 use bytes::Bytes;
-use pumiceway_memory::{AccountedBuffer, Holder, MemoryBudget};
-use std::time::Instant;
+use pumiceway_memory::{AccountedBuffer, Holder, MemoryAccount, MemoryBudget, Revoked};
+use std::future::poll_fn;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
 
 /// What an open job takes beside its workload.
 const JOB_BYTES: usize = 4 << 10;
+/// What data takes on its way to a peer, beside itself.
+const OUTBOUND_BYTES: usize = 256;
+/// How long to wait for memory.
+const MEMORY_TIMEOUT: Duration = REQUEST_TIMEOUT;
 
-/// A copy of a workload. It, and what else an open job takes, is drawn until its last clone is
-/// dropped; `None` if there is no memory for it.
-pub(in crate::frontend::gearman) fn copy_workload(
+/// A copy of a workload. It pays for what else an open job takes, too.
+///
+/// # Errors
+///
+/// Returns an error if there is no memory for it.
+pub(super) async fn copy_workload(
     memory: &MemoryBudget,
     workload: &[u8],
-) -> Option<Bytes> {
+) -> Result<Bytes, Revoked> {
+    let mut account = memory.open(Holder::Request, Instant::now());
+    draw(&mut account, JOB_BYTES + workload.len()).await?;
+    Ok(into_content(account, workload))
+}
+
+/// A copy of data that is sent to a peer: an update of a job, or what the peer has asked for.
+///
+/// # Errors
+///
+/// Returns an error if there is no memory for it.
+pub(super) async fn copy_outbound(memory: &MemoryBudget, data: &[u8]) -> Result<Bytes, Revoked> {
     let now = Instant::now();
-    let mut account = memory.open(Holder::Request, now);
-    account.try_draw(JOB_BYTES + workload.len(), now).ok()?;
-    account.give_back(workload.len());
-    let content = AccountedBuffer::new(account).replace_by(workload.to_vec(), now);
-    Some(content.into())
+    let mut account = memory.open(Holder::Outbox, now);
+    // Peers that read give their memory back soon, and others are made to, so it waits for them.
+    account.settle(now)?;
+    draw(&mut account, OUTBOUND_BYTES + data.len()).await?;
+    Ok(into_content(account, data))
 }
 
-/// A copy of the result of a job, which is drawn until its last clone is dropped.
+/// A copy of the result of a job, which must not be refused: the job has run.
 pub(super) fn copy_result(memory: &MemoryBudget, result: &[u8]) -> Bytes {
-    let now = Instant::now();
-    let account = memory.open(Holder::Response, now);
-    let content = AccountedBuffer::new(account).replace_by(result.to_vec(), now);
-    content.into()
+    let account = memory.open(Holder::Response, Instant::now());
+    let buffer = AccountedBuffer::new(account);
+    buffer.replace_by(result.to_vec(), Instant::now()).into()
+}
+
+async fn draw(account: &mut MemoryAccount, bytes: usize) -> Result<(), Revoked> {
+    let drawn = poll_fn(|cx| account.poll_draw(bytes, Instant::now(), cx));
+    timeout(MEMORY_TIMEOUT, drawn).await.unwrap_or(Err(Revoked))
 }
 
-/// A copy of data that is forwarded at once.
-pub(super) fn copy_update(data: &[u8]) -> Bytes {
-    Bytes::copy_from_slice(data)
+/// A copy of data that is among what the account has drawn.
+fn into_content(mut account: MemoryAccount, data: &[u8]) -> Bytes {
+    account.give_back(data.len());
+    let buffer = AccountedBuffer::new(account);
+    buffer.replace_by(data.to_vec(), Instant::now()).into()
 }
