Faults: draw strangers with open ids, repeats, keys and Gearman peers

Change: strangers with the id of an open request (same, less time, another tenant, leaving, on one connection), one import again and again, keyed jobs that cross between HTTP and Gearman, Gearman workers that complete, send parts, fail, drop or fall silent, and clients that wait, come again or do not read; memory that unfinished responses use up beside clients that read. Jobs have names, by which the checker counts their runs whatever id or key they come under.

--- a/crates/pumiceway/tests/faults.rs
+++ b/crates/pumiceway/tests/faults.rs
@@ -5,9 +5,14 @@
 
 mod common;
 
+use pumiceway_test_support::processes::crowds::Conduct;
 use pumiceway_test_support::processes::discovery::WatchLoss;
 use pumiceway_test_support::processes::endpoints::Behavior;
 use pumiceway_test_support::processes::faults::{Fault, Schedule};
+use pumiceway_test_support::processes::gearman_peers::{ClientConduct, WorkerConduct};
+use pumiceway_test_support::processes::identities::Stranger;
+use pumiceway_test_support::processes::jobs::Cost;
+use pumiceway_test_support::processes::lengthy::LengthyResponse;
 use pumiceway_test_support::processes::rule_checker::{RuleReport, check_rules};
 use pumiceway_test_support::processes::service::Failure;
 use pumiceway_test_support::processes::{Conditions, TestFleet, clients, faults};
@@ -258,6 +263,100 @@
     }
 }
 
+/// Each kind of request that shares its id or key with another one, and each kind of Gearman peer, spread
+/// over the dispatchers.
+fn shared_identities() -> Schedule {
+    let dispatchers = (0..SHORT.dispatchers).cycle();
+    let duration = Duration::from_secs(8);
+    let mut faults: Vec<Fault> = Vec::new();
+    for (dispatcher, &stranger) in dispatchers.clone().zip(Stranger::ALL) {
+        faults.push(Fault::StrangerIds {
+            dispatcher,
+            stranger,
+            count: 6,
+        });
+    }
+    for (dispatcher, &conduct) in dispatchers.clone().zip(WorkerConduct::ALL) {
+        faults.push(Fault::GearmanWorkers {
+            dispatcher,
+            conduct,
+            takes_unique_ids: conduct != WorkerConduct::Fails,
+            count: 2,
+            duration,
+        });
+    }
+    let costs = [Cost::Usual, Cost::Slow, Cost::Large];
+    for (dispatcher, (&conduct, cost)) in dispatchers.zip(ClientConduct::ALL.iter().zip(costs)) {
+        faults.push(Fault::GearmanClients {
+            dispatcher,
+            conduct,
+            cost,
+            count: 2,
+            duration,
+        });
+    }
+    for dispatcher in 0..SHORT.dispatchers {
+        faults.push(Fault::KeyedJobs {
+            dispatcher,
+            count: 10,
+        });
+        faults.push(Fault::RepeatedRequest {
+            dispatcher,
+            pause: Duration::from_millis(200),
+            duration,
+        });
+    }
+    let begins_at = Duration::from_secs(2);
+    faults.into_iter().map(|fault| (begins_at, fault)).collect()
+}
+
+// Regression test for issue 59: a stranger was served with the result of an open request, endpoints were
+// told another key over HTTP than over Gearman, and an import that was sent again and again ran twice.
+#[test]
+fn the_invariants_hold_when_requests_share_ids_and_keys() {
+    let runs = [16, 213].map(|seed| {
+        assert!(draw_conditions(seed).gearman);
+        std::thread::spawn(move || check(seed, &run_schedule(seed, &SHORT, &shared_identities())))
+    });
+    for run in runs {
+        run.join().unwrap();
+    }
+}
+
+/// Dispatchers whose memory unfinished responses use up, with Gearman clients that read large results.
+fn memory_is_short() -> Schedule {
+    let duration = Duration::from_secs(9);
+    let crowds = (0..SHORT.dispatchers).map(|dispatcher| Fault::ClientCrowd {
+        dispatcher,
+        conduct: Conduct::LargeBodies,
+        connections: 40,
+        duration,
+    });
+    let lengthy = (0..SHORT.workers / 2).map(|endpoint| Fault::EndpointMisbehaves {
+        endpoint,
+        behavior: Behavior::RespondsAtLength(LengthyResponse::Line),
+        duration,
+    });
+    let clients = (0..SHORT.dispatchers).map(|dispatcher| Fault::GearmanClients {
+        dispatcher,
+        conduct: ClientConduct::Waits,
+        cost: Cost::Large,
+        count: 8,
+        duration,
+    });
+    let begins_at = Duration::from_secs(2);
+    let faults = crowds.chain(lengthy).chain(clients);
+    faults.map(|fault| (begins_at, fault)).collect()
+}
+
+// Regression test for issue 59: Gearman clients that read lost the results of jobs that had run.
+#[test]
+fn the_invariants_hold_when_memory_is_short_for_gearman_clients_that_read() {
+    let seed = 301;
+    assert!(draw_conditions(seed).gearman);
+    check(seed, &run_schedule(seed, &SHORT, &memory_is_short()));
+}
+
 #[test]
 fn the_invariants_hold_on_further_seeds() {
     let Ok(range) = std::env::var("FAULT_SEEDS") else {
--- a/crates/test-support/src/peer.rs
+++ b/crates/test-support/src/peer.rs
@@ -232,6 +232,12 @@
         !matches!(peeked, Err(error) if error.kind() == ErrorKind::WouldBlock)
     }
 
+    /// Whether the connection has failed, or was closed before anything that is unread.
+    pub(crate) fn has_failed(&self) -> bool {
+        let error = self.stream.take_error();
+        !matches!(error, Ok(None)) || matches!(self.stream.peek(&mut [0]), Ok(0) | Err(_))
+    }
+
     /// Sends chunks of a single byte, one per interval, until `is_over` or the other side closes.
     pub(crate) fn trickle(&mut self, interval: Duration, is_over: impl Fn() -> bool) {
         while !is_over() && self.stream.write_all(b"1\r\n \r\n").is_ok() {
--- a/crates/test-support/src/processes/clients.rs
+++ b/crates/test-support/src/processes/clients.rs
@@ -45,6 +45,13 @@
     NoResponse,
 }
 
+impl RequestEnd {
+    /// Whether its job was done, over HTTP.
+    pub(super) fn is_served(&self) -> bool {
+        matches!(self, RequestEnd::Response(line) if line.contains(" 200 "))
+    }
+}
+
 /// The connection that a request was sent on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Connection {
--- a/crates/test-support/src/processes/conditions.rs
+++ b/crates/test-support/src/processes/conditions.rs
@@ -1,6 +1,8 @@
 //! The parameters of a test run: how lists are delivered, the deadlines, and the limits on sockets
 //! and memory.
 
+use super::identities::KEYED_CLASS;
+use super::identity_checks::DEDUPLICATION_WINDOW;
 use crate::SETTINGS;
 use std::time::Duration;
 
@@ -45,6 +47,11 @@
     }
 }
 
+/// The tenants, as the settings name them.
+pub(super) const TENANTS: [&str; 2] = ["acme", "other"];
+const TENANT_SETTINGS: &str =
+    r#""tenants":[{"name":"acme","quota-per-s":9},{"name":"other","quota-per-s":9}],"#;
+
 /// The parameters of a test run, which do not change during the run.
 #[derive(Clone, Copy, Debug)]
 pub struct Conditions {
@@ -63,6 +70,10 @@
     pub counts_files: bool,
     /// Whether dispatchers check the health of endpoints.
     pub health_checks: bool,
+    /// Whether dispatchers have a Gearman frontend.
+    pub gearman: bool,
+    /// Whether the settings have tenants, so that the sound clients belong to none of them.
+    pub tenants: bool,
 }
 
 impl Conditions {
@@ -92,6 +103,8 @@
             memory_mb: *rng.choice(&MEMORY_LIMITS_MB).unwrap(),
             health_checks: rng.bool(),
             counts_files: true,
+            gearman: rng.bool(),
+            tenants: rng.bool(),
         }
     }
 
@@ -100,19 +113,34 @@
         self.deadlines[usize::from(is_non_idempotent)].min(self.max_remaining)
     }
 
+    /// The deadline of a class.
+    pub(super) fn deadline(&self, class: &str) -> Duration {
+        self.deadlines[usize::from(class == "booking-import")]
+    }
+
     /// The time from SIGTERM until a process may be killed.
     pub(super) fn kill_after(&self) -> Duration {
         let longest = self.deadlines[0].max(self.deadlines[1]);
         longest.min(MAX_COUNTED_DEADLINE) + KILL_MARGIN
     }
 
+    /// The settings of a dispatcher.
     pub(super) fn settings(&self, instance: usize, instance_count: usize) -> String {
         let [idempotent, non_idempotent] = self
             .deadlines
             .map(|deadline| format!(r#""deadline-us":{}"#, deadline.as_micros()));
         let limits = format!(r#""limits":{{"probes":{},"#, self.health_checks);
         let settings = self.lists.settings(instance, instance_count);
+        // A third class, whose deadline is that of the idempotent one.
+        let keyed = format!(
+            r#""points":3.0,"semantics":"non_idempotent"}},{{"name":"{KEYED_CLASS}","aim-us":1500000,{idempotent},
+            "points":3.0,"semantics":"idempotency_key","dedup-scope":"all","window-us":{}}}]"#,
+            DEDUPLICATION_WINDOW.as_micros()
+        );
+        let tenants = if self.tenants { TENANT_SETTINGS } else { "" };
         settings
+            .replacen('{', &format!("{{{tenants}"), 1)
+            .replacen(r#""points":3.0,"semantics":"non_idempotent"}]"#, &keyed, 1)
             .replacen(r#""limits":{"#, &limits, 1)
             .replacen(r#""deadline-us":5000000"#, &idempotent, 1)
             .replacen(r#""deadline-us":6000000"#, &non_idempotent, 1)
--- a/crates/test-support/src/processes/dispatcher.rs
+++ b/crates/test-support/src/processes/dispatcher.rs
@@ -7,6 +7,7 @@
 use super::throttle::send_signal;
 use super::{Conditions, TestFleet};
 use rustix::process::Signal;
+use std::ffi::OsStr;
 use std::path::PathBuf;
 use std::process::Child;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -47,6 +48,8 @@
     pub link: Arc<DiscoveryLink>,
     /// The address at which clients connect to its current process.
     pub address: Mutex<Option<String>>,
+    /// The address of its Gearman frontend, if it has one.
+    pub gearman: Mutex<Option<String>>,
     /// Its processes, in order.
     pub runs: Mutex<Vec<ProcessRun>>,
     /// The periods in which idle connections exhausted its sockets.
@@ -59,6 +62,7 @@
     /// Held while its configuration is written and a process reads it.
     config_lock: Mutex<()>,
     config: PathBuf,
+    gearman_config: PathBuf,
     bootstrap_list: String,
     conditions: Conditions,
     instance_count: usize,
@@ -82,12 +86,14 @@
             number,
             link,
             address: Mutex::default(),
+            gearman: Mutex::default(),
             runs: Mutex::default(),
             socket_exhaustions: Mutex::default(),
             child: Mutex::default(),
             memory: Mutex::default(),
             is_claimed: AtomicBool::new(true),
             config_lock: Mutex::default(),
+            gearman_config: std::env::temp_dir().join(format!("{file}.toml")),
             config: std::env::temp_dir().join(file),
             bootstrap_list,
             conditions,
@@ -100,8 +106,16 @@
         let config_lock = self.config_lock.lock().unwrap();
         self.write_config();
         let started_at = Instant::now();
-        let (child, listening_line) = serve(&fleet.program, &self.config, &[]);
-        let address = listening_line.and_then(|line| field(&line, "address"));
+        let with_gearman = [OsStr::new("--gearman"), self.gearman_config.as_os_str()];
+        let arguments: &[&OsStr] = if self.conditions.gearman {
+            &with_gearman
+        } else {
+            &[]
+        };
+        let (child, listening_line) = serve(&fleet.program, &self.config, arguments);
+        let address_in = |name| field(listening_line.as_deref()?, name);
+        let address = address_in("address");
+        *self.gearman.lock().unwrap() = address_in("gearman").filter(|_| self.conditions.gearman);
         self.watch_memory(child.id());
         *self.child.lock().unwrap() = Some(child);
         self.runs.lock().unwrap().push(ProcessRun {
@@ -150,6 +164,14 @@
             r#"{{"listen":"127.0.0.1:0","discovery":"{discovery}","limits":{limits},"known":{bootstrap_list},"settings":{settings}}}"#
         );
         std::fs::write(&self.config, text).unwrap();
+        // The connections are as many as the lowest socket limit permits.
+        let text = "listen = \"127.0.0.1:0\"\nconnections = 20\njobs = 64\n";
+        std::fs::write(&self.gearman_config, text).unwrap();
+    }
+
+    /// The address at which clients connect to its current process.
+    pub(super) fn http(&self) -> Option<String> {
+        self.address.lock().unwrap().clone()
     }
 
     /// The id of its process, if any.
@@ -166,7 +188,7 @@
 
     /// Kills its process and waits until it has ended.
     pub fn kill(&self) {
-        *self.address.lock().unwrap() = None;
+        self.forget_addresses();
         if let Some(mut child) = self.child.lock().unwrap().take() {
             let _ = child.kill();
             let _ = child.wait();
@@ -185,7 +207,7 @@
         if second_sigterm {
             self.signal(Signal::TERM);
         }
-        *self.address.lock().unwrap() = None;
+        self.forget_addresses();
         let kill_at = terminated_at + self.conditions.kill_after();
         while Instant::now() < kill_at {
             if self.reap(fleet) {
@@ -196,6 +218,11 @@
         self.kill();
     }
 
+    fn forget_addresses(&self) {
+        *self.address.lock().unwrap() = None;
+        *self.gearman.lock().unwrap() = None;
+    }
+
     /// Whether its process has ended. Records a violation if the process has exited with an error.
     fn reap(&self, fleet: &TestFleet) -> bool {
         let status = self
@@ -257,5 +284,6 @@
     fn drop(&mut self) {
         self.kill();
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(&self.gearman_config);
     }
 }
--- a/crates/test-support/src/processes/endpoints.rs
+++ b/crates/test-support/src/processes/endpoints.rs
@@ -1,6 +1,7 @@
 //! Endpoints that serve requests, hang, reset connections, respond twice or at length, and the
 //! endpoint list of discovery.
 
+use super::jobs;
 use super::lengthy::{self, LengthyResponse};
 use crate::{Peer, endpoint_line, listing, serve_each};
 use std::net::TcpListener;
@@ -10,8 +11,6 @@
 
 /// The start of a health check.
 const HEALTH_CHECK: &str = "GET /-/load ";
-/// How long a job takes.
-const JOB_DURATION: Duration = Duration::from_millis(10);
 /// How long an endpoint that hangs keeps a connection open.
 const HANG_DURATION: Duration = Duration::from_secs(2);
 /// How long after the first response a second one follows, and the statuses of second responses.
@@ -27,6 +26,9 @@
 /// The number of changes that an outdated list lacks.
 const OUTDATED_BY: usize = 3;
 
+/// Stands for a Gearman worker, which is on no list, in place of the index of an endpoint.
+pub(super) const GEARMAN_WORKER: usize = usize::MAX;
+
 /// The status of an endpoint in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListedStatus {
@@ -92,8 +94,14 @@
     pub at: Instant,
     /// The index of the endpoint.
     pub endpoint: usize,
-    /// Its `X-Txn`.
+    /// Its `X-Txn`, or the unique id that a Gearman worker is told.
     pub id: String,
+    /// Its class.
+    pub class: String,
+    /// The idempotency key that came with it.
+    pub key: Option<String>,
+    /// The name of its job.
+    pub job: String,
     /// The remaining time that the dispatcher sent with it.
     pub remaining: Option<Duration>,
 }
@@ -135,17 +143,13 @@
                 self.report_load(endpoint, &mut peer);
                 continue;
             }
-            let arrival = Arrival::parse(endpoint, &request);
-            self.arrivals.lock().unwrap().push(arrival);
+            self.record(Arrival::parse(endpoint, &request));
+            let body = body_of(&request);
             let behavior = self.behaviors.lock().unwrap()[endpoint];
             match behavior {
-                Behavior::Serves => {
-                    std::thread::sleep(JOB_DURATION);
-                    peer.send("done yes");
-                }
+                Behavior::Serves => peer.send(&format!("done {}", jobs::run(body))),
                 Behavior::RespondsTwice => {
-                    std::thread::sleep(JOB_DURATION);
-                    peer.send("done yes");
+                    peer.send(&format!("done {}", jobs::run(body)));
                     std::thread::sleep(SECOND_RESPONSE_DELAY);
                     let status = second_responses.next().unwrap_or(&SECOND_RESPONSES[0]);
                     peer.send(&format!(
@@ -156,10 +160,7 @@
                 Behavior::RespondsAtLength(response) if self.is_next_lengthy() => {
                     lengthy::respond(&mut peer, response);
                 }
-                Behavior::RespondsAtLength(_) => {
-                    std::thread::sleep(JOB_DURATION);
-                    peer.send("done yes");
-                }
+                Behavior::RespondsAtLength(_) => peer.send(&format!("done {}", jobs::run(body))),
                 Behavior::Resets => return peer.reset(),
             }
         }
@@ -211,6 +212,11 @@
         self.changes.lock().unwrap().clone()
     }
 
+    /// Records a request that was read.
+    pub(super) fn record(&self, arrival: Arrival) {
+        self.arrivals.lock().unwrap().push(arrival);
+    }
+
     /// All requests that the endpoints have read so far.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().unwrap().clone()
@@ -283,9 +289,16 @@
             at,
             endpoint,
             id: header("x-txn: ").unwrap_or_default().to_owned(),
+            class: request.split('/').nth(1).unwrap_or_default().to_owned(),
+            key: header("idempotency-key: ").map(str::to_owned),
+            job: jobs::name(body_of(request)).to_owned(),
             remaining: header("x-remaining-ms: ")
                 .and_then(|millis| millis.parse().ok())
                 .map(Duration::from_millis),
         }
     }
 }
+
+fn body_of(request: &str) -> &str {
+    request.split_once("\r\n\r\n").map_or("", |(_, body)| body)
+}
--- a/crates/test-support/src/processes/faults/injection.rs
+++ b/crates/test-support/src/processes/faults/injection.rs
@@ -5,6 +5,8 @@
 use crate::processes::crowds::{self, Conduct};
 use crate::processes::dispatcher::{Dispatcher, SocketExhaustion};
 use crate::processes::endpoints::{Behavior, ListedStatus};
+use crate::processes::gearman_peers::{run_client, run_worker};
+use crate::processes::identities::{repeat_request, send_keyed, send_strangers};
 use crate::processes::returning::{come_again, leave, request_ids};
 use crate::processes::service::{Cost, USUAL_COST};
 use crate::processes::throttle::throttle;
@@ -146,6 +148,45 @@
             count,
             away,
         } => return_clients(fleet, &fleet.dispatchers[dispatcher], count, away),
+        Fault::StrangerIds {
+            dispatcher,
+            stranger,
+            count,
+        } => send_strangers(fleet, &fleet.dispatchers[dispatcher], stranger, count),
+        Fault::RepeatedRequest {
+            dispatcher,
+            pause,
+            duration,
+        } => repeat_request(fleet, &fleet.dispatchers[dispatcher], pause, duration),
+        Fault::KeyedJobs { dispatcher, count } => {
+            send_keyed(fleet, &fleet.dispatchers[dispatcher], count);
+        }
+        Fault::GearmanWorkers {
+            dispatcher,
+            conduct,
+            takes_unique_ids,
+            count,
+            duration,
+        } => {
+            let dispatcher = &fleet.dispatchers[dispatcher];
+            let until = Instant::now() + duration;
+            in_parallel(count, || {
+                run_worker(fleet, dispatcher, conduct, takes_unique_ids, until);
+            });
+        }
+        Fault::GearmanClients {
+            dispatcher,
+            conduct,
+            cost,
+            count,
+            duration,
+        } => {
+            let dispatcher = &fleet.dispatchers[dispatcher];
+            let until = Instant::now() + duration;
+            in_parallel(count, || {
+                run_client(fleet, dispatcher, conduct, cost, until);
+            });
+        }
         Fault::Throttle {
             dispatcher,
             duration,
@@ -158,6 +199,15 @@
     }
 }
 
+/// Runs this many threads, and waits for them.
+fn in_parallel(count: usize, run: impl Fn() + Sync) {
+    std::thread::scope(|scope| {
+        for _ in 0..count {
+            scope.spawn(&run);
+        }
+    });
+}
+
 fn send_crowd(dispatcher: &Dispatcher, conduct: Conduct, connections: usize, duration: Duration) {
     let until = Instant::now() + duration;
     let name = format!("crowd-{}-{conduct:?}", dispatcher.number);
--- a/crates/test-support/src/processes/faults/mod.rs
+++ b/crates/test-support/src/processes/faults/mod.rs
@@ -1,6 +1,7 @@
 //! Random, overlapping faults: a schedule that is drawn from a seed, and the injection of each
 //! fault.
 
+mod identity_faults;
 mod injection;
 mod schedule;
 
@@ -10,6 +11,9 @@
 use super::crowds::Conduct;
 use super::discovery::{CallFault, OldAddress, WatchLoss};
 use super::endpoints::Behavior;
+use super::gearman_peers::{ClientConduct, WorkerConduct};
+use super::identities::Stranger;
+use super::jobs::Cost;
 use super::service::Failure;
 use std::time::Duration;
 
@@ -91,6 +95,36 @@
         count: usize,
         away: Duration,
     },
+    /// Strangers send the ids of open requests of others.
+    StrangerIds {
+        dispatcher: usize,
+        stranger: Stranger,
+        count: usize,
+    },
+    /// A client sends one request again and again, from when it is turned away.
+    RepeatedRequest {
+        dispatcher: usize,
+        pause: Duration,
+        duration: Duration,
+    },
+    /// Clients send jobs with idempotency keys, over HTTP and over Gearman in turn.
+    KeyedJobs { dispatcher: usize, count: usize },
+    /// Gearman workers connect to a dispatcher.
+    GearmanWorkers {
+        dispatcher: usize,
+        conduct: WorkerConduct,
+        takes_unique_ids: bool,
+        count: usize,
+        duration: Duration,
+    },
+    /// Gearman clients connect to a dispatcher.
+    GearmanClients {
+        dispatcher: usize,
+        conduct: ClientConduct,
+        cost: Cost,
+        count: usize,
+        duration: Duration,
+    },
     /// A dispatcher is suspended and resumed in turn, so that it runs for a quarter of the time.
     Throttle {
         dispatcher: usize,
--- a/crates/test-support/src/processes/faults/schedule.rs
+++ b/crates/test-support/src/processes/faults/schedule.rs
@@ -1,6 +1,6 @@
 //! Draws a schedule of faults from a seed.
 
-use super::{Fault, Schedule};
+use super::{Fault, Schedule, identity_faults};
 use crate::processes::crowds::Conduct;
 use crate::processes::discovery::{CallFault, OldAddress, WatchLoss};
 use crate::processes::endpoints::Behavior;
@@ -11,19 +11,19 @@
 use std::time::Duration;
 
 /// The earliest time at which a fault begins.
-const FIRST_FAULT_MS: u64 = 500;
+pub(super) const FIRST_FAULT_MS: u64 = 500;
 /// A schedule has this many faults, and one more for every `SECONDS_PER_FAULT` seconds.
 const MIN_FAULTS: u64 = 5;
 const SECONDS_PER_FAULT: u64 = 3;
 /// A crowd has at most one connection for each so many sockets of the dispatcher: two crowds at once
 /// leave connections for sound clients.
-const SOCKETS_PER_CROWD_CONNECTION: usize = 6;
+pub(super) const SOCKETS_PER_CROWD_CONNECTION: usize = 6;
 /// Fewer clients than this send without pause.
 const MAX_FLOODING: usize = 4;
 /// How many times lost watches, an overloaded discovery service and leaving endpoints are combined.
 const COMBINATIONS: u32 = 2;
 
-fn millis(rng: &mut Rng, from: u64, to: u64) -> Duration {
+pub(super) fn millis(rng: &mut Rng, from: u64, to: u64) -> Duration {
     Duration::from_millis(rng.u64(from..to))
 }
 
@@ -221,6 +221,13 @@
             draw_endpoints_leaving(rng),
         ));
     }
+    schedule.extend(identity_faults::draw(
+        seed,
+        length,
+        dispatchers,
+        endpoints,
+        conditions,
+    ));
     schedule.sort_by_key(|(begins_at, _)| *begins_at);
     schedule
 }
--- a/crates/test-support/src/processes/pressure.rs
+++ b/crates/test-support/src/processes/pressure.rs
@@ -76,6 +76,8 @@
             memory_mb: self.memory_mb,
             counts_files: true,
             health_checks: self.responses.contains(&LengthyResponse::SlowLoadReport),
+            gearman: false,
+            tenants: false,
         };
         let fleet = TestFleet::start(program, 1, self.endpoints, conditions);
         let clients = clients::start(&fleet, self.clients, SEED);
--- a/crates/test-support/src/processes/rule_checker.rs
+++ b/crates/test-support/src/processes/rule_checker.rs
@@ -4,7 +4,7 @@
 use super::discovery::{ChangeToNotify, NotificationLimits};
 use super::endpoints::{Arrival, ListChange, ListedStatus};
 use super::returning::Departure;
-use super::{Dispatcher, ProcessRun, TestFleet};
+use super::{Dispatcher, ProcessRun, TestFleet, identity_checks};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -74,6 +74,7 @@
         let is_forwarded = forwarded.contains_key(request.id.as_str());
         checker.check_end(request, is_forwarded);
     }
+    let is_served = |request: &&SentRequest| request.end.is_served();
     let awaited = || sent.iter().filter(|request| is_awaited(request));
     let waits = awaited().map(|request| request.ended_at - request.at);
     for dispatcher in &fleet.dispatchers {
@@ -82,11 +83,17 @@
     for departure in &*fleet.departures.lock().unwrap() {
         checker.check_departure(departure, &arrivals);
     }
+    for (at, description) in identity_checks::check(fleet, &arrivals, MEASUREMENT_SLACK) {
+        checker.record_violation(at, description);
+    }
+    for request in &*fleet.sent.lock().unwrap() {
+        checker.check_end(request, false);
+    }
     RuleReport {
         requests: sent.len(),
-        served: sent.iter().filter(|request| is_served(request)).count(),
+        served: sent.iter().filter(is_served).count(),
         awaited: awaited().count(),
-        awaited_served: awaited().filter(|request| is_served(request)).count(),
+        awaited_served: awaited().filter(is_served).count(),
         longest_wait: waits.max().unwrap_or_default(),
         memory_share: highest_memory_share(fleet),
         violations: checker.violations,
@@ -113,10 +120,6 @@
     })
 }
 
-fn is_served(request: &SentRequest) -> bool {
-    matches!(&request.end, RequestEnd::Response(line) if line.contains(" 200 "))
-}
-
 fn is_awaited(request: &SentRequest) -> bool {
     request.pace == Pace::AtOnce && request.end != RequestEnd::Disconnected
 }
