--- a/crates/test-support/src/processes/rule_checker.rs
+++ b/crates/test-support/src/processes/rule_checker.rs
@@ -5,7 +5,7 @@
 use super::endpoints::{Arrival, ListChange, ListedStatus};
 use super::returning::Departure;
 use super::{Dispatcher, ProcessRun, TestFleet, identity_checks};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 /// The times after which a dispatcher counts as notified of a change of the list.
@@ -57,23 +57,8 @@
         fleet,
         violations: std::mem::take(&mut *fleet.violations.lock().unwrap()),
     };
-    let by_id: HashMap<&str, &SentRequest> = sent
-        .iter()
-        .map(|request| (request.id.as_str(), request))
-        .collect();
     let arrivals = fleet.endpoints.arrivals();
-    let mut forwarded: HashMap<&str, &Arrival> = HashMap::new();
-    for arrival in &arrivals {
-        let Some(request) = by_id.get(arrival.id.as_str()) else {
-            continue;
-        };
-        let is_repeated = forwarded.insert(&arrival.id, arrival).is_some();
-        checker.check_arrival(request, arrival, is_repeated);
-    }
-    for request in sent {
-        let is_forwarded = forwarded.contains_key(request.id.as_str());
-        checker.check_end(request, is_forwarded);
-    }
+    checker.check_sent(sent, &arrivals);
     let is_served = |request: &&SentRequest| request.end.is_served();
     let awaited = || sent.iter().filter(|request| is_awaited(request));
     let waits = awaited().map(|request| request.ended_at - request.at);
@@ -165,6 +150,26 @@
         }
     }
 
+    /// Checks each run of the requests of sound clients, and how the requests ended.
+    fn check_sent(&mut self, sent: &[SentRequest], arrivals: &[Arrival]) {
+        let by_id: HashMap<&str, &SentRequest> = sent
+            .iter()
+            .map(|request| (request.id.as_str(), request))
+            .collect();
+        let mut forwarded: HashSet<&str> = HashSet::new();
+        for arrival in arrivals {
+            let Some(request) = by_id.get(arrival.id.as_str()) else {
+                continue;
+            };
+            let is_repeated = !forwarded.insert(&arrival.id);
+            self.check_arrival(request, arrival, is_repeated);
+        }
+        for request in sent {
+            let is_forwarded = forwarded.contains(request.id.as_str());
+            self.check_end(request, is_forwarded);
+        }
+    }
+
     fn check_end(&mut self, request: &SentRequest, is_forwarded: bool) {
         if let Some(reason) = self.unanswered(request, is_forwarded) {
             let description = format!("lost: {} at d{}: {reason}", request.id, request.dispatcher);
