--- a/crates/test-support/src/processes/rule_checker.rs
+++ b/crates/test-support/src/processes/rule_checker.rs
@@ -140,7 +140,10 @@
         if let Some(given) = arrival.remaining.filter(|&given| given > max_remaining) {
             self.record_violation(
                 arrival.at,
-                format!("deadline: {id} was given {given:?}, {remaining:?} remaining"),
+                format!(
+                    "deadline: {id} was given {given:?} by d{}, {remaining:?} remaining",
+                    request.dispatcher
+                ),
             );
         }
         let latest = request.ended_at + MAX_DISCONNECT_DELAY + MEASUREMENT_SLACK;
@@ -172,7 +175,9 @@
 
     fn check_end(&mut self, request: &SentRequest, is_forwarded: bool) {
         if let Some(reason) = self.unanswered(request, is_forwarded) {
-            let description = format!("lost: {} at d{}: {reason}", request.id, request.dispatcher);
+            let waited = request.ended_at - request.at;
+            let (id, dispatcher) = (&request.id, request.dispatcher);
+            let description = format!("lost: {id} at d{dispatcher}: {reason}, after {waited:?}");
             self.record_violation(request.at, description);
         }
     }
