Core: decide on a submission in one place, and once

The id and the cached entry of a submission were looked up twice and its names copied up to five times; "its class is idempotent" stood twice, and "it must not run again" in two functions. One function decides now, from one identity and one look-up. A result of a Gearman job is copied by the function that copies other data. No behaviour is changed: the order of the answers is the same.

Checked: the tests of core, memory and net pass.

--- a/crates/core/src/reducer/balancer.rs
+++ b/crates/core/src/reducer/balancer.rs
@@ -120,10 +120,8 @@
         let open = self.requests.get(&request).filter(|open| !open.is_done);
         let may_shed = open.is_none_or(|open| self.permission(now, open).may_shed);
         // The client would retry under the same unique id.
-        let is_retry_in_vain = open.is_some_and(|open| {
-            let must_not_run_again = open.may_have_run() && !self.is_idempotent(open.class);
-            open.unique_id().is_some() && must_not_run_again
-        });
+        let is_retry_in_vain =
+            open.is_some_and(|open| open.unique_id().is_some() && self.must_not_run_again(open));
         let response = if may_shed && !is_retry_in_vain {
             ClientResponse::Overloaded { retry_after }
         } else {
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -75,12 +75,19 @@
     times.fold(at_least, Duration::max)
 }
 
-/// What is known of a request that was submitted before.
-enum Earlier {
-    /// It is open, and this submission joins it.
-    Open(RequestId),
-    /// This submission gets this response.
-    Ended(ClientResponse),
+fn is_idempotent(settings: &Settings, class: ClassId) -> bool {
+    let class = settings.classes.get(class.0);
+    class.is_some_and(|class| class.idempotency == Idempotency::Idempotent)
+}
+
+/// What becomes of a submission.
+enum Admission {
+    /// It opens a request.
+    Opens,
+    /// It joins this open request.
+    Joins(RequestId),
+    /// It gets this response at once.
+    Ends(ClientResponse),
 }
 
 impl Core {
@@ -91,49 +98,54 @@
         request: ClientRequest,
         effects: &mut Vec<Effect>,
     ) {
-        let response = match self.find_earlier(now, &request) {
-            Some(Earlier::Open(open)) => return self.join(open, handle),
-            Some(Earlier::Ended(response)) => response,
-            None if self.can_remember(now, &request) => {
-                return self.open_request(now, handle, request);
+        let identity = request.identity();
+        match self.admit(now, &request, identity.as_ref()) {
+            Admission::Opens => self.open_request(now, handle, request, identity),
+            Admission::Joins(open) => self.join(open, handle),
+            Admission::Ends(response) => effects.push(Effect::Respond { handle, response }),
+        }
+    }
+
+    /// Decides whether a submission repeats an earlier one, and whether a new request can be remembered
+    /// for as long as it has to be.
+    fn admit(
+        &mut self,
+        now: Timestamp,
+        request: &ClientRequest,
+        identity: Option<&Identity>,
+    ) -> Admission {
+        let is_consumed = identity.is_some_and(|identity| self.consumed_ids.renew(now, identity));
+        let lookup = match identity {
+            Some(Identity::Job(unique_id)) => self.cache.look_up(now, unique_id),
+            Some(Identity::Request(_)) | None => Lookup::New,
+        };
+        let must_not_repeat = identity.is_some() && !is_idempotent(&self.settings, request.class);
+        let response = match lookup {
+            Lookup::Running(running) => return Admission::Joins(running),
+            Lookup::Cached(response) => response,
+            Lookup::New | Lookup::Full if is_consumed => {
+                ClientResponse::Failed(Failure::MayHaveRunBefore)
             }
-            None => ClientResponse::Overloaded {
+            Lookup::New | Lookup::Full if self.request_ids.contains(&request.job.id) => {
+                ClientResponse::Rejected(Rejection::IdInUse)
+            }
+            Lookup::New if !must_not_repeat || self.has_room_for_id(now) => {
+                return Admission::Opens;
+            }
+            Lookup::New | Lookup::Full => ClientResponse::Overloaded {
                 retry_after: self.retry_after,
             },
         };
-        effects.push(Effect::Respond { handle, response });
+        Admission::Ends(response)
     }
 
-    /// Decides whether a submission repeats an earlier one, and what it gets if so.
-    fn find_earlier(&mut self, now: Timestamp, request: &ClientRequest) -> Option<Earlier> {
-        let identity = request.identity();
-        let is_consumed = identity.is_some_and(|id| self.consumed_ids.renew(now, &id));
-        if let Some(unique_id) = request.unique_id() {
-            match self.cache.look_up(now, &unique_id) {
-                Lookup::Running(running) => return Some(Earlier::Open(running)),
-                Lookup::Cached(response) => return Some(Earlier::Ended(response)),
-                Lookup::New | Lookup::Full => {}
-            }
-        }
-        if is_consumed {
-            let response = ClientResponse::Failed(Failure::MayHaveRunBefore);
-            return Some(Earlier::Ended(response));
-        }
-        let is_open = self.request_ids.contains(&request.job.id);
-        is_open.then_some(Earlier::Ended(ClientResponse::Rejected(Rejection::IdInUse)))
+    fn has_room_for_id(&mut self, now: Timestamp) -> bool {
+        self.consumed_ids.has_room(now, self.requests.len())
     }
 
-    /// Whether a new request can be remembered for as long as it has to be.
-    fn can_remember(&mut self, now: Timestamp, request: &ClientRequest) -> bool {
-        let unique_id = request.unique_id();
-        let has_cache_room = unique_id.is_none_or(|id| self.cache.look_up(now, &id) == Lookup::New);
-        let must_not_repeat = !self.is_idempotent(request.class) && request.identity().is_some();
-        has_cache_room && (!must_not_repeat || self.consumed_ids.has_room(now, self.requests.len()))
-    }
-
-    pub(super) fn is_idempotent(&self, class: ClassId) -> bool {
-        let class = self.settings.classes.get(class.0);
-        class.is_some_and(|class| class.idempotency == Idempotency::Idempotent)
+    /// Whether a request must not run again, although its client may ask for it.
+    pub(super) fn must_not_run_again(&self, request: &OpenRequest) -> bool {
+        request.may_have_run() && !is_idempotent(&self.settings, request.class)
     }
 
     /// The remaining time, limited to the deadline of the class. The balancer derives the age of a
@@ -146,12 +158,17 @@
         })
     }
 
-    fn open_request(&mut self, now: Timestamp, handle: RequestHandle, request: ClientRequest) {
+    fn open_request(
+        &mut self,
+        now: Timestamp,
+        handle: RequestHandle,
+        request: ClientRequest,
+        identity: Option<Identity>,
+    ) {
         let remaining = self.limited_remaining(&request);
         let deadline = self.shutdown.deadline(now, remaining);
         let id = RequestId(self.next_id());
         self.request_ids.insert(request.job.id.clone());
-        let identity = request.identity();
         if let Some(Identity::Job(unique_id)) = &identity {
             self.cache.begin(unique_id.clone(), id);
         }
@@ -245,9 +262,7 @@
             return;
         };
         if let Some(unique_id) = request.unique_id().cloned() {
-            let class = self.settings.classes.get(request.class.0);
-            let is_idempotent =
-                class.is_some_and(|class| class.idempotency == Idempotency::Idempotent);
+            let is_idempotent = is_idempotent(&self.settings, request.class);
             self.cache.complete(now, unique_id, response, is_idempotent);
         }
         for handle in std::mem::take(&mut request.handles) {
@@ -272,8 +287,7 @@
             return;
         };
         if let Some(identity) = &request.identity
-            && request.may_have_run()
-            && !self.is_idempotent(request.class)
+            && self.must_not_run_again(request)
         {
             self.consumed_ids.insert(now, identity);
         }
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -105,19 +105,13 @@
 }
 
 impl ClientRequest {
-    /// The identity of its job, if the client gave it a unique id.
-    pub(crate) fn unique_id(&self) -> Option<UniqueId> {
-        let name = self.job.unique_id.clone()?;
-        Some(UniqueId {
-            class: self.class,
-            name,
-        })
-    }
-
     /// By what the request is recognised if it is submitted again; `None` if it cannot be.
     pub(crate) fn identity(&self) -> Option<Identity> {
-        match (self.unique_id(), self.id_origin) {
-            (Some(unique_id), _) => Some(Identity::Job(unique_id)),
+        match (&self.job.unique_id, self.id_origin) {
+            (Some(name), _) => Some(Identity::Job(UniqueId {
+                class: self.class,
+                name: name.clone(),
+            })),
             (None, IdOrigin::Client) => Some(Identity::Request(self.job.id.clone())),
             (None, IdOrigin::Frontend) => None,
         }
--- a/crates/memory/src/account.rs
+++ b/crates/memory/src/account.rs
@@ -33,7 +33,8 @@
     }
 
     /// Draws an amount if it is available. If not, others are revoked, or this account if its burden
-    /// is the highest and it is not settled. Until it draws again or is dropped, the account has a place in the queue.
+    /// is the highest and it is not settled. Until it draws again or is dropped, the account has a
+    /// place in the queue.
     ///
     /// # Errors
     ///
--- a/crates/net/src/frontend/gearman/payload.rs
+++ b/crates/net/src/frontend/gearman/payload.rs
@@ -48,9 +48,7 @@
 
 /// A copy of the result of a job, which must not be refused: the job has run.
 pub(super) fn copy_result(memory: &MemoryBudget, result: &[u8]) -> Bytes {
-    let account = memory.open(Holder::Response, Instant::now());
-    let buffer = AccountedBuffer::new(account);
-    buffer.replace_by(result.to_vec(), Instant::now()).into()
+    into_content(memory.open(Holder::Response, Instant::now()), result)
 }
 
 async fn draw(account: &mut MemoryAccount, bytes: usize) -> Result<(), Revoked> {
@@ -58,7 +56,7 @@
     timeout(MEMORY_TIMEOUT, drawn).await.unwrap_or(Err(Revoked))
 }
 
-/// A copy of data that is among what the account has drawn.
+/// A copy of data, which takes the place of as much that the account has drawn.
 fn into_content(mut account: MemoryAccount, data: &[u8]) -> Bytes {
     account.give_back(data.len());
     let buffer = AccountedBuffer::new(account);
