Test support: one way to connect, one outline of a run, one way to run seeds together

Clients, strangers and Gearman peers each connected to a dispatcher in functions of their own, and read the first line of a response twice; workers and clients were started by the same lines; the length of a run and its numbers were passed one by one through four functions; five tests started and joined their seeds by hand. Each stands once now. Seeds, schedules, bounds and assertions are as they were.

--- a/crates/pumiceway/tests/faults.rs
+++ b/crates/pumiceway/tests/faults.rs
@@ -8,7 +8,7 @@
 use pumiceway_test_support::processes::crowds::Conduct;
 use pumiceway_test_support::processes::discovery::WatchLoss;
 use pumiceway_test_support::processes::endpoints::Behavior;
-use pumiceway_test_support::processes::faults::{Fault, Schedule};
+use pumiceway_test_support::processes::faults::{Fault, RunOutline, Schedule};
 use pumiceway_test_support::processes::gearman_peers::{ClientConduct, WorkerConduct};
 use pumiceway_test_support::processes::identities::Stranger;
 use pumiceway_test_support::processes::jobs::Cost;
@@ -54,14 +54,13 @@
 
 fn run(seed: u64, size: &Size) -> RuleReport {
     let conditions = draw_conditions(seed);
-    let schedule = faults::draw_schedule(
-        seed,
-        size.duration,
-        size.dispatchers,
-        size.workers,
-        &conditions,
-    );
-    run_schedule(seed, size, &schedule)
+    let outline = RunOutline {
+        length: size.duration,
+        dispatchers: size.dispatchers,
+        endpoints: size.workers,
+        conditions,
+    };
+    run_schedule(seed, size, &faults::draw_schedule(seed, &outline))
 }
 
 fn run_schedule(seed: u64, size: &Size, schedule: &Schedule) -> RuleReport {
@@ -131,10 +130,6 @@
     report
 }
 
-fn run_and_check(seed: u64, size: &Size) {
-    check(seed, &run(seed, size));
-}
-
 fn check(seed: u64, report: &RuleReport) {
     assert!(
         report.violations.is_empty(),
@@ -149,14 +144,20 @@
     );
 }
 
+/// Checks runs of these seeds, all at the same time.
+fn check_in_parallel(seeds: [u64; 2], run: impl Fn(u64) -> RuleReport + Sync) {
+    std::thread::scope(|scope| {
+        for seed in seeds {
+            let run = &run;
+            scope.spawn(move || check(seed, &run(seed)));
+        }
+    });
+}
+
 #[test]
 fn the_invariants_hold_under_random_faults() {
     for parallel_seeds in [[1, 2], [3, 4], [6, 9]] {
-        let runs =
-            parallel_seeds.map(|seed| std::thread::spawn(move || run_and_check(seed, &SHORT)));
-        for run in runs {
-            run.join().unwrap();
-        }
+        check_in_parallel(parallel_seeds, |seed| run(seed, &SHORT));
     }
 }
 
@@ -230,61 +231,45 @@
             },
         ),
     ];
-    let runs = [4, 5].map(|seed| {
-        let schedule = schedule.clone();
-        std::thread::spawn(move || check(seed, &run_schedule(seed, &SHORT, &schedule)))
-    });
-    for run in runs {
-        run.join().unwrap();
-    }
+    check_in_parallel([4, 5], |seed| run_schedule(seed, &SHORT, &schedule));
 }
 
 // Regression test for issue 49: at each planned restart, requests of which a part had been read were
 // closed without a response. Clients that pause within requests are among those of every run.
 #[test]
 fn the_invariants_hold_when_dispatchers_restart_one_after_another() {
-    let runs = [7, 8].map(|seed| {
-        let schedule = (0..SHORT.dispatchers)
-            .map(|dispatcher| {
-                let restart = Fault::Restart {
-                    dispatcher,
-                    sighup: dispatcher.is_multiple_of(2),
-                    second_sigterm: dispatcher.is_multiple_of(3),
-                };
-                (
-                    Duration::from_millis(1_000 + 1_500 * dispatcher as u64),
-                    restart,
-                )
-            })
-            .collect();
-        std::thread::spawn(move || check(seed, &run_schedule(seed, &SHORT, &schedule)))
-    });
-    for run in runs {
-        run.join().unwrap();
-    }
+    let schedule: Schedule = (0..SHORT.dispatchers)
+        .map(|dispatcher| {
+            let restart = Fault::Restart {
+                dispatcher,
+                sighup: dispatcher.is_multiple_of(2),
+                second_sigterm: dispatcher.is_multiple_of(3),
+            };
+            (
+                Duration::from_millis(1_000 + 1_500 * dispatcher as u64),
+                restart,
+            )
+        })
+        .collect();
+    check_in_parallel([7, 8], |seed| run_schedule(seed, &SHORT, &schedule));
 }
 
 // Regression test for issue 50: a second response that came some milliseconds late was taken for the
 // one to the next request on the connection, and a non-idempotent job ran again elsewhere.
 #[test]
 fn the_invariants_hold_when_endpoints_respond_twice() {
-    let runs = [14, 15].map(|seed| {
-        let begins_at = Duration::from_secs(1);
-        let schedule = (0..SHORT.workers)
-            .map(|endpoint| {
-                let fault = Fault::EndpointMisbehaves {
-                    endpoint,
-                    behavior: Behavior::RespondsTwice,
-                    duration: Duration::from_secs(12),
-                };
-                (begins_at, fault)
-            })
-            .collect();
-        std::thread::spawn(move || check(seed, &run_schedule(seed, &SHORT, &schedule)))
-    });
-    for run in runs {
-        run.join().unwrap();
-    }
+    let begins_at = Duration::from_secs(1);
+    let schedule: Schedule = (0..SHORT.workers)
+        .map(|endpoint| {
+            let fault = Fault::EndpointMisbehaves {
+                endpoint,
+                behavior: Behavior::RespondsTwice,
+                duration: Duration::from_secs(12),
+            };
+            (begins_at, fault)
+        })
+        .collect();
+    check_in_parallel([14, 15], |seed| run_schedule(seed, &SHORT, &schedule));
 }
 
 /// Each kind of request that shares its id or key with another one, and each kind of Gearman peer, spread
@@ -338,12 +323,7 @@
 // told another key over HTTP than over Gearman, and an import that was sent again and again ran twice.
 #[test]
 fn the_invariants_hold_when_requests_share_ids_and_keys() {
-    let runs = [16, 213].map(|seed| {
-        std::thread::spawn(move || check(seed, &run_released(seed, &shared_identities())))
-    });
-    for run in runs {
-        run.join().unwrap();
-    }
+    check_in_parallel([16, 213], |seed| run_released(seed, &shared_identities()));
 }
 
 /// Dispatchers whose memory unfinished responses use up, with Gearman clients that read large results.
--- a/crates/test-support/src/processes/clients.rs
+++ b/crates/test-support/src/processes/clients.rs
@@ -5,7 +5,6 @@
 use crate::Peer;
 use fastrand::Rng;
 use std::collections::HashMap;
-use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
@@ -46,6 +45,19 @@
 }
 
 impl RequestEnd {
+    /// With this response.
+    fn from_response(response: &str) -> RequestEnd {
+        RequestEnd::Response(response.lines().next().unwrap_or_default().to_owned())
+    }
+
+    /// Reads the response, if one comes.
+    pub(super) fn read_from(peer: &mut Peer) -> RequestEnd {
+        let response = peer.read_message();
+        response.map_or(RequestEnd::NoResponse, |response| {
+            RequestEnd::from_response(&response)
+        })
+    }
+
     /// Whether its job was done, over HTTP.
     pub(super) fn is_served(&self) -> bool {
         matches!(self, RequestEnd::Response(line) if line.contains(" 200 "))
@@ -136,7 +148,7 @@
                 // The connection was closed between two requests, which the client notices.
                 Some(peer) if peer.is_closed() => continue,
                 Some(peer) => (peer, Connection::Reused),
-                None => match self.connect(dispatcher) {
+                None => match self.fleet.dispatchers[dispatcher].connect() {
                     Some(peer) => (peer, Connection::New),
                     None => continue,
                 },
@@ -146,15 +158,6 @@
         self.sent
     }
 
-    fn connect(&self, dispatcher: usize) -> Option<Peer> {
-        let address = self.fleet.dispatchers[dispatcher]
-            .address
-            .lock()
-            .unwrap()
-            .clone();
-        Some(Peer::new(TcpStream::connect(address?).ok()?))
-    }
-
     fn request(&mut self, dispatcher: usize, mut peer: Peer, connection: Connection) {
         let id = format!("{}-{}", self.number, self.sent.len());
         let is_non_idempotent =
@@ -238,6 +241,6 @@
         if !response.to_lowercase().contains("connection: close") {
             self.open_connections.insert(dispatcher, peer);
         }
-        RequestEnd::Response(response.lines().next().unwrap_or_default().to_owned())
+        RequestEnd::from_response(&response)
     }
 }
--- a/crates/test-support/src/processes/dispatcher.rs
+++ b/crates/test-support/src/processes/dispatcher.rs
@@ -6,8 +6,10 @@
 use super::service::DiscoveryService;
 use super::throttle::send_signal;
 use super::{Conditions, TestFleet};
+use crate::Peer;
 use rustix::process::Signal;
 use std::ffi::OsStr;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -174,6 +176,21 @@
         self.address.lock().unwrap().clone()
     }
 
+    /// The address of the Gearman frontend of its current process, if it has one.
+    pub(super) fn gearman(&self) -> Option<String> {
+        self.gearman.lock().unwrap().clone()
+    }
+
+    /// Connects a client to its current process.
+    pub(super) fn connect(&self) -> Option<Peer> {
+        connect(self.http())
+    }
+
+    /// Connects a Gearman worker or client to its current process.
+    pub(super) fn connect_gearman(&self) -> Option<Peer> {
+        connect(self.gearman())
+    }
+
     /// The id of its process, if any.
     pub fn process(&self) -> Option<u32> {
         self.child.lock().unwrap().as_ref().map(Child::id)
@@ -256,8 +273,7 @@
     pub fn ready_within(&self, timeout: Duration) -> bool {
         let end = Instant::now() + timeout;
         loop {
-            let address = self.address.lock().unwrap().clone();
-            if address.is_some_and(|address| is_ready(&address)) {
+            if self.http().is_some_and(|address| is_ready(&address)) {
                 return true;
             }
             if Instant::now() > end {
@@ -280,6 +296,10 @@
     }
 }
 
+fn connect(address: Option<String>) -> Option<Peer> {
+    Some(Peer::new(TcpStream::connect(address?).ok()?))
+}
+
 impl Drop for Dispatcher {
     fn drop(&mut self) {
         self.kill();
--- a/crates/test-support/src/processes/faults/identity_faults.rs
+++ b/crates/test-support/src/processes/faults/identity_faults.rs
@@ -2,9 +2,8 @@
 //!
 //! They have random numbers of their own, so that the other faults of a seed stay what they were.
 
-use super::schedule::{FIRST_FAULT_MS, SOCKETS_PER_CROWD_CONNECTION, millis};
+use super::schedule::{FIRST_FAULT_MS, RunOutline, SOCKETS_PER_CROWD_CONNECTION, millis};
 use super::{Fault, Schedule};
-use crate::processes::Conditions;
 use crate::processes::crowds::Conduct;
 use crate::processes::endpoints::Behavior;
 use crate::processes::gearman_peers::{ClientConduct, WorkerConduct};
@@ -12,7 +11,6 @@
 use crate::processes::jobs::Cost;
 use crate::processes::lengthy::LengthyResponse;
 use fastrand::Rng;
-use std::time::Duration;
 
 /// Changes the seed of a run for these faults.
 const SEED_MASK: u64 = 0x1d_e171;
@@ -21,31 +19,25 @@
 /// How many endpoints send unfinished responses while memory is short.
 const LENGTHY_ENDPOINTS: usize = 3;
 
-/// Draws the faults of a run of this length.
-pub(super) fn draw(
-    seed: u64,
-    length: Duration,
-    dispatchers: usize,
-    endpoints: usize,
-    conditions: &Conditions,
-) -> Schedule {
+/// Draws these faults of a run.
+pub(super) fn draw(seed: u64, run: &RunOutline) -> Schedule {
     let mut rng = Rng::with_seed(seed ^ SEED_MASK);
     let rng = &mut rng;
-    let latest_ms = length.as_millis() as u64 / 2;
+    let latest_ms = run.length.as_millis() as u64 / 2;
     let mut schedule = Schedule::new();
     for _ in 0..AFFECTED_DISPATCHERS {
-        let dispatcher = rng.usize(..dispatchers);
+        let dispatcher = rng.usize(..run.dispatchers);
         let mut faults = draw_repeats(rng, dispatcher);
-        if conditions.gearman {
+        if run.conditions.gearman {
             faults.extend(draw_gearman_faults(rng, dispatcher));
         }
         for fault in faults {
             schedule.push((millis(rng, FIRST_FAULT_MS, latest_ms), fault));
         }
     }
-    if conditions.gearman {
+    if run.conditions.gearman {
         let begins_at = millis(rng, FIRST_FAULT_MS, latest_ms);
-        let faults = draw_short_memory(rng, dispatchers, endpoints, conditions);
+        let faults = draw_short_memory(rng, run);
         schedule.extend(faults.into_iter().map(|fault| (begins_at, fault)));
     }
     schedule
@@ -95,19 +87,14 @@
 
 /// Gearman clients of one dispatcher read large results while unfinished responses, and clients with
 /// large bodies, take its memory. These faults seldom coincide if each is drawn separately.
-fn draw_short_memory(
-    rng: &mut Rng,
-    dispatchers: usize,
-    endpoints: usize,
-    conditions: &Conditions,
-) -> Vec<Fault> {
-    let dispatcher = rng.usize(..dispatchers);
+fn draw_short_memory(rng: &mut Rng, run: &RunOutline) -> Vec<Fault> {
+    let dispatcher = rng.usize(..run.dispatchers);
     let duration = millis(rng, 4_000, 8_000);
     let clients = [
         Fault::ClientCrowd {
             dispatcher,
             conduct: Conduct::LargeBodies,
-            connections: conditions.sockets / SOCKETS_PER_CROWD_CONNECTION,
+            connections: run.conditions.sockets / SOCKETS_PER_CROWD_CONNECTION,
             duration,
         },
         Fault::GearmanClients {
@@ -118,9 +105,9 @@
             duration,
         },
     ];
-    let first_endpoint = rng.usize(..endpoints);
+    let first_endpoint = rng.usize(..run.endpoints);
     let lengthy = (0..LENGTHY_ENDPOINTS).map(|number| Fault::EndpointMisbehaves {
-        endpoint: (first_endpoint + number) % endpoints,
+        endpoint: (first_endpoint + number) % run.endpoints,
         behavior: Behavior::RespondsAtLength(LengthyResponse::Line),
         duration,
     });
--- a/crates/test-support/src/processes/faults/injection.rs
+++ b/crates/test-support/src/processes/faults/injection.rs
@@ -169,8 +169,7 @@
             duration,
         } => {
             let dispatcher = &fleet.dispatchers[dispatcher];
-            let until = Instant::now() + duration;
-            in_parallel(count, || {
+            in_parallel(count, duration, |until| {
                 run_worker(fleet, dispatcher, conduct, takes_unique_ids, until);
             });
         }
@@ -182,8 +181,7 @@
             duration,
         } => {
             let dispatcher = &fleet.dispatchers[dispatcher];
-            let until = Instant::now() + duration;
-            in_parallel(count, || {
+            in_parallel(count, duration, |until| {
                 run_client(fleet, dispatcher, conduct, cost, until);
             });
         }
@@ -199,11 +197,12 @@
     }
 }
 
-/// Runs this many threads, and waits for them.
-fn in_parallel(count: usize, run: impl Fn() + Sync) {
+/// Runs this many threads, each until the same time, and waits for them.
+fn in_parallel(count: usize, duration: Duration, run_until: impl Fn(Instant) + Sync) {
+    let until = Instant::now() + duration;
     std::thread::scope(|scope| {
         for _ in 0..count {
-            scope.spawn(&run);
+            scope.spawn(|| run_until(until));
         }
     });
 }
@@ -211,13 +210,13 @@
 fn send_crowd(dispatcher: &Dispatcher, conduct: Conduct, connections: usize, duration: Duration) {
     let until = Instant::now() + duration;
     let name = format!("crowd-{}-{conduct:?}", dispatcher.number);
-    let address = || dispatcher.address.lock().unwrap().as_ref()?.parse().ok();
+    let address = || dispatcher.http()?.parse().ok();
     let is_over = || Instant::now() >= until;
     crowds::run(conduct, connections, &name, address, is_over);
 }
 
 fn return_clients(fleet: &TestFleet, dispatcher: &Dispatcher, count: usize, away: Duration) {
-    let address = || dispatcher.address.lock().unwrap().as_ref()?.parse().ok();
+    let address = || dispatcher.http()?.parse().ok();
     let Some(first_address) = address() else {
         return;
     };
@@ -284,7 +283,7 @@
 }
 
 fn exhaust_sockets(fleet: &TestFleet, dispatcher: &Dispatcher, duration: Duration) {
-    let Some(address) = dispatcher.address.lock().unwrap().clone() else {
+    let Some(address) = dispatcher.http() else {
         return;
     };
     let from = Instant::now();
--- a/crates/test-support/src/processes/faults/mod.rs
+++ b/crates/test-support/src/processes/faults/mod.rs
@@ -6,7 +6,7 @@
 mod schedule;
 
 pub use injection::inject;
-pub use schedule::draw_schedule;
+pub use schedule::{RunOutline, draw_schedule};
 
 use super::crowds::Conduct;
 use super::discovery::{CallFault, OldAddress, WatchLoss};
--- a/crates/test-support/src/processes/faults/schedule.rs
+++ b/crates/test-support/src/processes/faults/schedule.rs
@@ -135,14 +135,9 @@
     }
 }
 
-fn draw_fault(
-    rng: &mut Rng,
-    dispatchers: usize,
-    endpoints: usize,
-    conditions: &Conditions,
-) -> Fault {
-    let lists = conditions.lists;
-    let dispatcher = rng.usize(..dispatchers);
+fn draw_fault(rng: &mut Rng, run: &RunOutline) -> Fault {
+    let lists = run.conditions.lists;
+    let dispatcher = rng.usize(..run.dispatchers);
     match rng.u32(..24) {
         0 => Fault::Kill {
             one_in: rng.usize(2..5),
@@ -169,7 +164,7 @@
         10 | 11 => draw_calls_fail(rng),
         12 => draw_discovery_moved(rng),
         13 | 14 => draw_endpoints_leaving(rng),
-        15 => draw_endpoint_misbehaves(rng, endpoints),
+        15 => draw_endpoint_misbehaves(rng, run.endpoints),
         16 => Fault::SocketsExhausted {
             dispatcher,
             duration: millis(rng, 1_000, 6_000),
@@ -177,7 +172,7 @@
         17 => Fault::DisconnectBurst {
             duration: millis(rng, 200, 1_500),
         },
-        18..=20 => draw_client_crowd(rng, dispatcher, conditions.sockets),
+        18..=20 => draw_client_crowd(rng, dispatcher, run.conditions.sockets),
         21 => Fault::ReturningClients {
             dispatcher,
             count: rng.usize(20..200),
@@ -187,28 +182,32 @@
             dispatcher,
             duration: millis(rng, 500, 4_000),
         },
-        _ => draw_endpoint_misbehaves(rng, endpoints),
+        _ => draw_endpoint_misbehaves(rng, run.endpoints),
     }
 }
 
-/// Draws a schedule for a run of this length.
-pub fn draw_schedule(
-    seed: u64,
-    length: Duration,
-    dispatchers: usize,
-    endpoints: usize,
-    conditions: &Conditions,
-) -> Schedule {
+/// A run, as far as its faults depend on it.
+#[derive(Clone, Copy, Debug)]
+pub struct RunOutline {
+    /// Its length.
+    pub length: Duration,
+    /// The number of dispatchers.
+    pub dispatchers: usize,
+    /// The number of endpoints.
+    pub endpoints: usize,
+    /// Its parameters.
+    pub conditions: Conditions,
+}
+
+/// Draws the schedule of a run.
+pub fn draw_schedule(seed: u64, run: &RunOutline) -> Schedule {
     let mut rng = Rng::with_seed(seed);
     let rng = &mut rng;
-    let latest_ms = length.as_millis() as u64 * 3 / 4;
+    let latest_ms = run.length.as_millis() as u64 * 3 / 4;
     let mut schedule = Schedule::new();
-    for _ in 0..MIN_FAULTS + length.as_secs() / SECONDS_PER_FAULT {
+    for _ in 0..MIN_FAULTS + run.length.as_secs() / SECONDS_PER_FAULT {
         let begins_at = millis(rng, FIRST_FAULT_MS, latest_ms);
-        schedule.push((
-            begins_at,
-            draw_fault(rng, dispatchers, endpoints, conditions),
-        ));
+        schedule.push((begins_at, draw_fault(rng, run)));
     }
     // Endpoints that leave while dispatchers are not notified of it. These faults seldom coincide
     // if each is drawn separately.
@@ -221,13 +220,7 @@
             draw_endpoints_leaving(rng),
         ));
     }
-    schedule.extend(identity_faults::draw(
-        seed,
-        length,
-        dispatchers,
-        endpoints,
-        conditions,
-    ));
+    schedule.extend(identity_faults::draw(seed, run));
     schedule.sort_by_key(|(begins_at, _)| *begins_at);
     schedule
 }
--- a/crates/test-support/src/processes/gearman_peers.rs
+++ b/crates/test-support/src/processes/gearman_peers.rs
@@ -7,7 +7,6 @@
 use super::jobs::{self, Cost};
 use super::{Dispatcher, TestFleet};
 use crate::Peer;
-use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// The classes, which are also the functions.
@@ -68,11 +67,6 @@
     ];
 }
 
-fn connect(dispatcher: &Dispatcher) -> Option<Peer> {
-    let address = dispatcher.gearman.lock().unwrap().clone();
-    Some(Peer::new(TcpStream::connect(address?).ok()?))
-}
-
 /// Runs a worker until this time. It asks for unique ids or not.
 pub(super) fn run_worker(
     fleet: &TestFleet,
@@ -82,7 +76,7 @@
     until: Instant,
 ) {
     while Instant::now() < until {
-        if let Some(peer) = connect(dispatcher) {
+        if let Some(peer) = dispatcher.connect_gearman() {
             let mut worker = Worker {
                 fleet,
                 peer,
@@ -197,11 +191,11 @@
 
 /// Submits a job, leaves while it runs and submits it again, several times; waits for its end at last.
 fn come_again(fleet: &TestFleet, dispatcher: &Dispatcher, function: &str, name: &str, body: &str) {
-    let address = dispatcher.gearman.lock().unwrap().clone();
+    let address = dispatcher.gearman();
     // A new process does not know what its predecessor has run.
-    let is_same_process = || *dispatcher.gearman.lock().unwrap() == address;
+    let is_same_process = || dispatcher.gearman() == address;
     for _ in 0..RETURNS {
-        let Some(mut peer) = connect(dispatcher).filter(|_| is_same_process()) else {
+        let Some(mut peer) = dispatcher.connect_gearman().filter(|_| is_same_process()) else {
             return std::thread::sleep(RECONNECT_PAUSE);
         };
         peer.send(&format!("[SUBMIT_JOB {function}|{name}|{body}]"));
@@ -217,7 +211,7 @@
 
 /// Submits jobs with large results, and stays without reading any.
 fn submit_unread(dispatcher: &Dispatcher, name: &str, until: Instant) {
-    let Some(mut peer) = connect(dispatcher) else {
+    let Some(mut peer) = dispatcher.connect_gearman() else {
         return std::thread::sleep(RECONNECT_PAUSE);
     };
     let job = |number| {
@@ -239,7 +233,7 @@
     unique_id: &str,
     body: &str,
 ) {
-    let Some(mut peer) = connect(dispatcher) else {
+    let Some(mut peer) = dispatcher.connect_gearman() else {
         std::thread::sleep(RECONNECT_PAUSE);
         return;
     };
--- a/crates/test-support/src/processes/identities.rs
+++ b/crates/test-support/src/processes/identities.rs
@@ -9,7 +9,6 @@
 use super::jobs::{self, Cost};
 use super::{Dispatcher, TestFleet};
 use crate::Peer;
-use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// The class with idempotency keys.
@@ -97,7 +96,7 @@
 impl OwnedRequest {
     /// Sends it as its owner and then as a stranger, and records how both ended.
     fn send_twice(&self, fleet: &TestFleet, dispatcher: &Dispatcher, stranger: Stranger) {
-        let Some(mut owner) = connect(dispatcher.http()) else {
+        let Some(mut owner) = dispatcher.connect() else {
             return;
         };
         let at = Instant::now();
@@ -115,9 +114,9 @@
         let longest_wait = stranger_end
             .as_ref()
             .map_or(Duration::ZERO, |_| stranger_at.elapsed());
-        let owner_end = read_end(&mut owner);
+        let owner_end = RequestEnd::read_from(&mut owner);
         let ended_at = Instant::now();
-        let second_end = shares_connection.then(|| read_end(&mut owner));
+        let second_end = shares_connection.then(|| RequestEnd::read_from(&mut owner));
         let ends = [Some(&owner_end), stranger_end.as_ref(), second_end.as_ref()];
         let served = ends.into_iter().flatten().filter(|end| end.is_served());
         fleet.repeated.lock().unwrap().push(RepeatedRequest {
@@ -154,7 +153,7 @@
             std::thread::sleep(STRANGER_STAY);
             return Some(RequestEnd::Disconnected);
         }
-        Some(read_end(&mut peer))
+        Some(RequestEnd::read_from(&mut peer))
     }
 
     fn message(&self, remaining: Duration, tenant: &str) -> String {
@@ -182,7 +181,7 @@
         let Some(mut peer) = send(dispatcher, &message) else {
             break;
         };
-        served += usize::from(read_end(&mut peer).is_served());
+        served += usize::from(RequestEnd::read_from(&mut peer).is_served());
         std::thread::sleep(pause);
     }
     fleet.repeated.lock().unwrap().push(RepeatedRequest {
@@ -226,7 +225,7 @@
     let header = format!("Idempotency-Key: {key}");
     let message = post(KEYED_CLASS, &id, KEYED_REMAINING, Some(&header), key);
     if let Some(mut peer) = send(dispatcher, &message) {
-        let _ = read_end(&mut peer);
+        let _ = RequestEnd::read_from(&mut peer);
     }
 }
 
@@ -241,19 +240,8 @@
     )
 }
 
-fn connect(address: Option<String>) -> Option<Peer> {
-    Some(Peer::new(TcpStream::connect(address?).ok()?))
-}
-
 fn send(dispatcher: &Dispatcher, message: &str) -> Option<Peer> {
-    let mut peer = connect(dispatcher.http())?;
+    let mut peer = dispatcher.connect()?;
     peer.send(message);
     Some(peer)
 }
-
-fn read_end(peer: &mut Peer) -> RequestEnd {
-    peer.read_message()
-        .map_or(RequestEnd::NoResponse, |response| {
-            RequestEnd::Response(response.lines().next().unwrap_or_default().to_owned())
-        })
-}
