--- a/crates/adapter/src/instances.rs
+++ b/crates/adapter/src/instances.rs
@@ -155,6 +155,7 @@
         let incoming = IncomingRequest {
             request: self.names.add_request(&request.request)?,
             class: ClassId(class),
+            function: None,
             remaining: Duration::from_micros(request.remaining_us),
             slots: request.slots.unwrap_or(1.0),
             memory: request.memory.unwrap_or(0.0),
--- a/crates/adapter/src/name_table.rs
+++ b/crates/adapter/src/name_table.rs
@@ -3,7 +3,7 @@
 use crate::error::EventError;
 use crate::wire;
 use pumiceway_decisions::api::{
-    EndpointEntry, EndpointId, EndpointState, LoadReport, RequestId, Timestamp,
+    EndpointEntry, EndpointId, EndpointState, FunctionSet, LoadReport, RequestId, Timestamp,
 };
 use pumiceway_decisions::settings::DeploymentSettings;
 use std::collections::HashMap;
@@ -60,6 +60,7 @@
                 .ok_or_else(|| EventError::UnknownZone(name_or_empty(entry.zone.as_deref())))?,
             kind: kind
                 .ok_or_else(|| EventError::UnknownKind(name_or_empty(entry.kind.as_deref())))?,
+            functions: FunctionSet::empty(),
             cell: entry.cell,
             state: match entry.state {
                 wire::EndpointState::Ready => EndpointState::Ready,
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -2,9 +2,9 @@
 
 use crate::{
     AttemptId, AttemptUpdate, ClientResponse, EndpointAddress, EndpointSource, HealthCheckId, Job,
-    RequestHandle,
+    JobFunction, RequestHandle,
 };
-use pumiceway_decisions::api::{ClassId, EndpointId, Timestamp};
+use pumiceway_decisions::api::{EndpointId, Timestamp};
 use pumiceway_decisions::rules::{Denial, LeaseSignal};
 use std::fmt;
 use std::sync::Arc;
@@ -26,8 +26,8 @@
         endpoint: EndpointId,
         /// Address of the endpoint.
         address: EndpointAddress,
-        /// Class of the job.
-        class: ClassId,
+        /// Class and function of the job.
+        function: JobFunction,
         /// The job to run.
         job: Arc<Job>,
         /// Remaining time until the response is no longer needed.
--- a/crates/core/src/endpoints/list.rs
+++ b/crates/core/src/endpoints/list.rs
@@ -1,6 +1,6 @@
 //! Endpoints, and the endpoint list updates that their sources send.
 
-use pumiceway_decisions::api::{EndpointState, KindId, Timestamp, ZoneId};
+use pumiceway_decisions::api::{EndpointState, FunctionSet, KindId, Timestamp, ZoneId};
 use pumiceway_decisions::rules::LeaseSignal;
 use std::fmt;
 
@@ -44,6 +44,8 @@
     pub zone: ZoneId,
     /// Machine kind.
     pub kind: KindId,
+    /// The additional functions that it may run, whatever its kind.
+    pub functions: FunctionSet,
     /// Cell, if any: endpoints of the same cell share their records of idempotency keys.
     pub cell: Option<u64>,
     /// State on the list of the source.
--- a/crates/core/src/endpoints/mod.rs
+++ b/crates/core/src/endpoints/mod.rs
@@ -10,6 +10,7 @@
 
 pub use list::{Endpoint, EndpointAddress, EndpointListUpdate, EndpointSource};
 
+use crate::JobFunction;
 use leases::PerSource;
 use pumiceway_decisions::api::{
     EndpointEntry, EndpointId, EndpointState, ListKind, Timestamp, ZoneId,
@@ -93,6 +94,16 @@
             .unwrap_or_default()
     }
 
+    /// Whether an endpoint lists an additional function. Default functions are not listed: the machine
+    /// kind of an endpoint says which of them it may run.
+    pub(crate) fn lists(&self, id: EndpointId, function: JobFunction) -> bool {
+        let Some(additional) = function.additional else {
+            return true;
+        };
+        let record = self.records.get(id.index());
+        record.is_some_and(|record| record.endpoint.functions.contains(additional))
+    }
+
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.records.iter().map(|record| &record.endpoint)
     }
@@ -176,6 +187,7 @@
             name: &endpoint.name,
             zone: endpoint.zone,
             kind: endpoint.kind,
+            functions: &endpoint.functions,
             cell: endpoint.cell,
             state: match endpoint.state {
                 EndpointState::Ready if !is_usable => EndpointState::Unconfirmed,
--- a/crates/core/src/idempotency_cache/tests.rs
+++ b/crates/core/src/idempotency_cache/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::JobFunction;
 use pumiceway_decisions::api::ClassId;
 
 fn cache(max_entries: usize, max_bytes: usize) -> IdempotencyCache {
@@ -21,7 +22,7 @@
 
 fn named(name: String) -> UniqueId {
     UniqueId {
-        class: ClassId(0),
+        function: JobFunction::default_of(ClassId(0)),
         name,
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -35,6 +35,7 @@
 mod effect;
 mod endpoints;
 mod event;
+mod functions;
 mod idempotency_cache;
 mod limits;
 mod overview;
@@ -46,9 +47,12 @@
 pub use effect::{Effect, Warning};
 pub use endpoints::{Endpoint, EndpointAddress, EndpointListUpdate, EndpointSource};
 pub use event::{Event, HealthCheckId};
+pub use functions::{
+    Abilities, FunctionCatalog, JobFunction, MAX_CLASSES, TooManyClasses, WorkerListing,
+};
 pub use idempotency_cache::IdempotencyCacheLimits;
 pub use limits::CoreLimits;
-pub use overview::{ClassOverview, Overview};
+pub use overview::{Overview, RequestCounts};
 pub use reducer::Core;
 pub use request::{ClientRequest, IdOrigin, Job, RequestHandle};
 pub use response::{ClientResponse, Failure, Rejection};
--- a/crates/core/src/reducer/attempts.rs
+++ b/crates/core/src/reducer/attempts.rs
@@ -107,14 +107,14 @@
         let until_deadline = request.deadline.saturating_duration_since(now);
         // A non-idempotent request cannot be retried if the endpoint has already closed the idle
         // connection on which it is sent.
-        let is_non_idempotent =
-            self.settings.classes[request.class.0].idempotency == Idempotency::NonIdempotent;
+        let is_non_idempotent = self.settings.classes[request.function.class.0].idempotency
+            == Idempotency::NonIdempotent;
         Effect::StartAttempt {
             attempt,
             attempt_index,
             endpoint,
             address,
-            class: request.class,
+            function: request.function,
             job: request.job.clone(),
             remaining: until_deadline.min(timeout_at.saturating_duration_since(now)),
             dedicated_connection: now < self.avoid_idle_connections_until && is_non_idempotent,
@@ -136,6 +136,9 @@
         let request = request.ok_or(Denial::RequestDone)?;
         let (zone, cell) = self.endpoints.zone_and_cell(send.endpoint);
         self.permission(now, request).check_endpoint(zone, cell)?;
+        if !self.endpoints.lists(send.endpoint, request.function) {
+            return Err(Denial::FunctionNotListed);
+        }
         self.endpoints.write_permission(now, send.endpoint)
     }
 
@@ -144,7 +147,7 @@
         rules::attempt_permission(
             now,
             &self.settings,
-            request.class,
+            request.function.class,
             request.attempts.iter().copied(),
         )
     }
--- a/crates/core/src/reducer/mod.rs
+++ b/crates/core/src/reducer/mod.rs
@@ -21,7 +21,7 @@
 use crate::endpoints::EndpointSet;
 use crate::idempotency_cache::IdempotencyCache;
 use crate::{
-    AttemptId, ClassOverview, CoreLimits, Effect, Event, HealthCheckId, Overview, RequestHandle,
+    AttemptId, CoreLimits, Effect, Event, HealthCheckId, Overview, RequestCounts, RequestHandle,
     Warning,
 };
 use attempts::InFlightAttempt;
@@ -186,14 +186,17 @@
 
     /// Returns the current state, for operators.
     pub fn overview(&self) -> Overview {
-        let mut classes = vec![ClassOverview::default(); self.settings.classes.len()];
+        let mut classes = vec![RequestCounts::default(); self.settings.classes.len()];
+        let mut functions = BTreeMap::new();
         for request in self.requests.values().filter(|request| !request.is_done) {
-            let class = &mut classes[request.class.0];
-            class.open += 1;
-            class.in_flight += usize::from(request.has_attempt_in_flight());
+            let has_attempt_in_flight = request.has_attempt_in_flight();
+            classes[request.function.class.0].add(has_attempt_in_flight);
+            let function: &mut RequestCounts = functions.entry(request.function).or_default();
+            function.add(has_attempt_in_flight);
         }
         Overview {
             classes,
+            functions,
             endpoints: self.endpoints.iter().cloned().collect(),
             unique_ids: self.cache.len(),
         }
--- a/crates/core/src/reducer/requests.rs
+++ b/crates/core/src/reducer/requests.rs
@@ -8,7 +8,10 @@
 use super::timers::Timer;
 use crate::idempotency_cache::Lookup;
 use crate::request::{Identity, UniqueId};
-use crate::{ClientRequest, ClientResponse, Core, Effect, Failure, Job, Rejection, RequestHandle};
+use crate::{
+    ClientRequest, ClientResponse, Core, Effect, Failure, Job, JobFunction, Rejection,
+    RequestHandle,
+};
 use pumiceway_decisions::api::{
     self, ClassId, Idempotency, IncomingRequest, RequestId, Settings, Timestamp,
 };
@@ -22,7 +25,7 @@
 
 /// A request that is not done or still has an attempt in flight.
 pub(super) struct OpenRequest {
-    pub(super) class: ClassId,
+    pub(super) function: JobFunction,
     pub(super) deadline: Timestamp,
     pub(super) job: Arc<Job>,
     /// By what it is recognised if it is submitted again.
@@ -119,7 +122,8 @@
             Some(Identity::Job(unique_id)) => self.cache.look_up(now, unique_id),
             Some(Identity::Request(_)) | None => Lookup::New,
         };
-        let must_not_repeat = identity.is_some() && !is_idempotent(&self.settings, request.class);
+        let must_not_repeat =
+            identity.is_some() && !is_idempotent(&self.settings, request.function.class);
         let response = match lookup {
             Lookup::Running(running) => return Admission::Joins(running),
             Lookup::Cached(response) => response,
@@ -145,14 +149,14 @@
 
     /// Whether a request must not run again, although its client may ask for it.
     pub(super) fn must_not_run_again(&self, request: &OpenRequest) -> bool {
-        request.may_have_run() && !is_idempotent(&self.settings, request.class)
+        request.may_have_run() && !is_idempotent(&self.settings, request.function.class)
     }
 
     /// The remaining time, limited to the deadline of the class. The balancer derives the age of a
     /// request from the longest remaining time it has seen. One that exceeds the deadline would
     /// make all later requests look as if they had been sent long ago.
     fn limited_remaining(&self, request: &ClientRequest) -> Duration {
-        let class = self.settings.classes.get(request.class.0);
+        let class = self.settings.classes.get(request.function.class.0);
         class.map_or(request.remaining, |class| {
             request.remaining.min(class.deadline)
         })
@@ -177,7 +181,8 @@
         self.waiting.insert(handle, id);
         self.notify_balancer(api::Event::RequestArrived(IncomingRequest {
             request: id,
-            class: request.class,
+            class: request.function.class,
+            function: request.function.additional,
             // Not shortened by a shutdown: the balancer would take a request with less remaining
             // time for one that its client has sent again.
             remaining: remaining.saturating_sub(ATTEMPT_MARGIN),
@@ -188,7 +193,7 @@
             affinity_key: request.job.affinity_key(),
         }));
         let open = OpenRequest {
-            class: request.class,
+            function: request.function,
             deadline,
             job: request.job,
             identity,
@@ -262,7 +267,7 @@
             return;
         };
         if let Some(unique_id) = request.unique_id().cloned() {
-            let is_idempotent = is_idempotent(&self.settings, request.class);
+            let is_idempotent = is_idempotent(&self.settings, request.function.class);
             self.cache.complete(now, unique_id, response, is_idempotent);
         }
         for handle in std::mem::take(&mut request.handles) {
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -1,7 +1,8 @@
 //! Requests as frontends submit them.
 
+use crate::JobFunction;
 use bytes::Bytes;
-use pumiceway_decisions::api::{ClassId, TenantId};
+use pumiceway_decisions::api::TenantId;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 /// request or gets the cached response.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct UniqueId {
-    pub(crate) class: ClassId,
+    pub(crate) function: JobFunction,
     pub(crate) name: String,
 }
 
@@ -87,8 +88,8 @@
 /// A request as a frontend submits it.
 #[derive(Clone, Debug)]
 pub struct ClientRequest {
-    /// Class.
-    pub class: ClassId,
+    /// Its class and function. A request that names a class alone is one of its default function.
+    pub function: JobFunction,
     /// Remaining time until the client stops waiting.
     pub remaining: Duration,
     /// Number of slots that the request occupies at an endpoint.
@@ -109,7 +110,7 @@
     pub(crate) fn identity(&self) -> Option<Identity> {
         match (&self.job.unique_id, self.id_origin) {
             (Some(name), _) => Some(Identity::Job(UniqueId {
-                class: self.class,
+                function: self.function,
                 name: name.clone(),
             })),
             (None, IdOrigin::Client) => Some(Identity::Request(self.job.id.clone())),
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -30,7 +30,7 @@
     }
     assert_eq!(
         core.overview().classes,
-        [ClassOverview {
+        [RequestCounts {
             open: 0,
             in_flight: 0
         }]
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -12,8 +12,8 @@
 use bytes::Bytes;
 use pumiceway_core::*;
 use pumiceway_decisions::api::{
-    ClassId, EndpointId, EndpointState, Idempotency, KindId, LoadReportSource, Settings, Timestamp,
-    ZoneId,
+    ClassId, EndpointId, EndpointState, FunctionSet, Idempotency, KindId, LoadReportSource,
+    Settings, Timestamp, ZoneId,
 };
 use std::sync::Arc;
 use std::time::Duration;
@@ -169,6 +169,7 @@
         address: EndpointAddress::Network(format!("{name}:1")),
         zone: ZoneId(0),
         kind: KindId(0),
+        functions: FunctionSet::default(),
         cell: Some(0),
         state: EndpointState::Ready,
         started_at: Timestamp::ORIGIN,
@@ -188,7 +189,7 @@
         body: Bytes::new(),
     };
     ClientRequest {
-        class: ClassId(class),
+        function: JobFunction::default_of(ClassId(class)),
         remaining,
         slots: 1.0,
         memory: 0.0,
--- a/crates/core/tests/disconnects.rs
+++ b/crates/core/tests/disconnects.rs
@@ -70,7 +70,7 @@
         started_attempts(&effects).is_empty() && responses(&effects).is_empty(),
         "{class} {count}: {effects:?}"
     );
-    let no_request = ClassOverview {
+    let no_request = RequestCounts {
         open: 0,
         in_flight: 0,
     };
--- a/crates/core/tests/repeats.rs
+++ b/crates/core/tests/repeats.rs
@@ -101,7 +101,7 @@
     let first = request(KEYED, "t", 9_000 * MS);
     for other in [
         ClientRequest {
-            class: ClassId(NON_IDEMPOTENT),
+            function: JobFunction::default_of(ClassId(NON_IDEMPOTENT)),
             ..first.clone()
         },
         with_job(&first, |job| job.unique_id = Some("u".into())),
@@ -244,7 +244,7 @@
         IdOrigin::Client => request(class, "t", 1_000 * MS),
         IdOrigin::Frontend => ClientRequest {
             id_origin: IdOrigin::Frontend,
-            class: ClassId(class),
+            function: JobFunction::default_of(ClassId(class)),
             ..request_with_unique_id(handle, "u")
         },
     };
@@ -343,7 +343,7 @@
     let mut core = TestCore::new(deployments()[0].clone(), &[endpoint("a")]);
     let submit = |core: &mut TestCore, handle| {
         let request = ClientRequest {
-            class: ClassId(KEYED),
+            function: JobFunction::default_of(ClassId(KEYED)),
             id_origin: IdOrigin::Frontend,
             ..request_with_unique_id(handle, "u")
         };
--- a/crates/decisions/src/api/class.rs
+++ b/crates/decisions/src/api/class.rs
@@ -67,11 +67,17 @@
 }
 
 impl Class {
-    /// Whether an endpoint of this zone and kind may serve the class.
-    pub fn allows(&self, zone: ZoneId, kind: KindId) -> bool {
+    /// Whether an endpoint of this zone may serve the class, if its kind or its functions allow it.
+    pub fn allows_zone(&self, zone: ZoneId) -> bool {
         self.allowed_zones
             .as_ref()
             .is_none_or(|allowed| allowed.contains(&zone))
+    }
+
+    /// Whether an endpoint of this zone and kind may serve the class. Requests of its additional
+    /// functions are served by the endpoints that list the function instead, whatever their kind.
+    pub fn allows(&self, zone: ZoneId, kind: KindId) -> bool {
+        self.allows_zone(zone)
             && self
                 .allowed_kinds
                 .as_ref()
--- a/crates/decisions/src/api/endpoint.rs
+++ b/crates/decisions/src/api/endpoint.rs
@@ -1,6 +1,6 @@
 //! The endpoint list.
 
-use super::{EndpointId, KindId, Timestamp, ZoneId};
+use super::{EndpointId, FunctionSet, KindId, Timestamp, ZoneId};
 
 /// State of an endpoint according to the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -27,6 +27,8 @@
     pub zone: ZoneId,
     /// Its machine kind.
     pub kind: KindId,
+    /// The additional functions that it can run, whatever its kind.
+    pub functions: &'a FunctionSet,
     /// Its cell: a group of endpoints that share their idempotency keys.
     pub cell: Option<u64>,
     /// Its state.
--- a/crates/decisions/src/api/event.rs
+++ b/crates/decisions/src/api/event.rs
@@ -1,7 +1,8 @@
 //! Events that the host passes to the balancer.
 
 use super::{
-    ClassId, EndpointEntry, EndpointId, ListKind, LoadReport, Outcome, RequestId, TenantId,
+    ClassId, EndpointEntry, EndpointId, FunctionId, ListKind, LoadReport, Outcome, RequestId,
+    TenantId,
 };
 use std::time::Duration;
 
@@ -12,6 +13,9 @@
     pub request: RequestId,
     /// Its class.
     pub class: ClassId,
+    /// The additional function that an endpoint needs to run it. `None`: none; every endpoint that
+    /// its class allows can run it.
+    pub function: Option<FunctionId>,
     /// Time until its client gives up.
     pub remaining: Duration,
     /// Slots that it uses at an endpoint.
--- a/crates/decisions/src/api/ids.rs
+++ b/crates/decisions/src/api/ids.rs
@@ -20,9 +20,13 @@
 }
 
 /// Index into [`Settings::classes`](super::Settings::classes).
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClassId(pub usize);
 
+/// Index of an additional function, into [`Settings::functions`](super::Settings::functions).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FunctionId(pub usize);
+
 /// Index of a zone, below [`Settings::zone_count`](super::Settings::zone_count).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ZoneId(pub usize);
--- a/crates/decisions/src/api/mod.rs
+++ b/crates/decisions/src/api/mod.rs
@@ -10,6 +10,7 @@
 mod class;
 mod endpoint;
 mod event;
+mod functions;
 mod ids;
 mod report;
 mod settings;
@@ -21,6 +22,7 @@
 pub use event::{
     AttemptProgress, AttemptResult, Event, HealthCheckResult, IncomingRequest, Progress,
 };
-pub use ids::{ClassId, EndpointId, KindId, RequestId, TenantId, ZoneId};
+pub use functions::FunctionSet;
+pub use ids::{ClassId, EndpointId, FunctionId, KindId, RequestId, TenantId, ZoneId};
 pub use report::{LoadReport, Outcome};
 pub use settings::{LoadReportSource, Prices, Settings, SettingsError};
--- a/crates/decisions/src/api/settings.rs
+++ b/crates/decisions/src/api/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of a balancer.
 
-use super::{Class, Tenant, ZoneId};
+use super::{Class, ClassId, Tenant, ZoneId};
 use std::time::Duration;
 
 /// Costs of operations, as shares of the mean priority weight of a request.
@@ -38,6 +38,9 @@
     pub kind_count: usize,
     /// The request classes.
     pub classes: Vec<Class>,
+    /// The class of each additional function: work that only the endpoints can do that name the
+    /// function; see [`EndpointEntry::functions`](super::EndpointEntry::functions).
+    pub functions: Vec<ClassId>,
     /// The tenants; empty if requests are not assigned to tenants.
     pub tenants: Vec<Tenant>,
     /// Priority weight of a request beyond its tenant's quota, as a share (0 to 1) of its class's
@@ -109,6 +112,9 @@
         if let Some(zone) = self.home_zone {
             check_index("zone", zone.0, self.zone_count)?;
         }
+        for class in &self.functions {
+            check_index("class of a function", class.0, self.classes.len())?;
+        }
         for class in &self.classes {
             for zone in class.allowed_zones.iter().flatten() {
                 check_index("zone of a class", zone.0, self.zone_count)?;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -26,6 +26,7 @@
 //!     name: "10.0.0.1:7000",
 //!     zone: ZoneId(0),
 //!     kind: KindId(0),
+//!     functions: FunctionSet::empty(),
 //!     cell: None,
 //!     state: EndpointState::Ready,
 //!     started_at: Timestamp::ORIGIN,
@@ -38,6 +39,7 @@
 //! let request = IncomingRequest {
 //!     request: RequestId(0),
 //!     class: ClassId(0),
+//!     function: None,
 //!     remaining: Duration::from_secs(5),
 //!     slots: 1.0,
 //!     memory: 0.0,
@@ -95,6 +97,7 @@
 //! ```
 
 pub mod api;
+mod bit_set;
 mod math;
 mod policy;
 pub mod rules;
--- a/crates/decisions/src/policy/admission.rs
+++ b/crates/decisions/src/policy/admission.rs
@@ -8,10 +8,12 @@
 //! unserved is shed, or fails if a retry by its client would not be harmless.
 
 use super::Balancer;
+use super::functions::EndpointsWithRoom;
 use super::selection::{EndpointQueueing, Selection};
-use crate::api::{Action, ClassId, RequestId, Timestamp};
+use crate::api::{Action, ClassId, FunctionId, RequestId, Timestamp};
 use crate::state::Request;
 use crate::time::{divide, from_micros_f64, micros_f64};
+use std::collections::BTreeMap;
 
 /// The latest start of a request is at least this many ticks before its deadline.
 const TICKS_BEFORE_DEADLINE: u32 = 2;
@@ -22,10 +24,9 @@
 /// it would raise the learnt running time, from which the slack is computed.
 const SLACK_SHARE: f64 = 0.5;
 
-/// A request that no endpoint would start. A later request of its class that takes as much would
-/// not be started either.
+/// A request that no endpoint would start. A later one of its class and function that takes as much
+/// would not be started either.
 struct Unplaceable {
-    class: ClassId,
     slots: f64,
     memory: f64,
     started_at: Timestamp,
@@ -34,30 +35,44 @@
 impl Unplaceable {
     fn of(request: &Request) -> Unplaceable {
         let Request {
-            class,
             slots,
             memory,
             started_at,
             ..
         } = *request;
         Unplaceable {
-            class,
             slots,
             memory,
             started_at,
         }
     }
 
-    /// Whether `request` is a later one of the same class that takes at least as much, and so would
-    /// not be started either.
+    /// Whether `request`, of the same class and function, is a later one that takes at least as much,
+    /// and so would not be started either.
     fn covers(&self, request: &Request) -> bool {
-        self.class == request.class
-            && self.slots <= request.slots
+        self.slots <= request.slots
             && self.memory <= request.memory
             && self.started_at <= request.started_at
     }
 }
 
+/// The requests that no endpoint would start, by class and function: an endpoint that has no room for
+/// one function may have room for another.
+#[derive(Default)]
+struct UnplaceableRequests(BTreeMap<(ClassId, Option<FunctionId>), Vec<Unplaceable>>);
+
+impl UnplaceableRequests {
+    fn covers(&self, request: &Request) -> bool {
+        let others = self.0.get(&(request.class, request.function));
+        others.is_some_and(|others| others.iter().any(|other| other.covers(request)))
+    }
+
+    fn insert(&mut self, request: &Request) {
+        let others = self.0.entry((request.class, request.function)).or_default();
+        others.push(Unplaceable::of(request));
+    }
+}
+
 impl Balancer {
     /// Queues a request that has arrived and could not be sent.
     pub(super) fn enqueue(&mut self, now: Timestamp, id: RequestId, actions: &mut Vec<Action>) {
@@ -78,15 +93,20 @@
         }
         // Bounds the work per event, which would otherwise grow with the number of queued requests
         // times the number of endpoints.
-        let mut unplaceable: Vec<Unplaceable> = Vec::new();
+        let mut unplaceable = UnplaceableRequests::default();
+        let mut with_room = EndpointsWithRoom::default();
         for id in self.take_sorted_queue() {
             let request = &self.state.requests[&id];
             let is_first_attempt = request.attempts.is_empty();
-            if !(is_first_attempt && unplaceable.iter().any(|other| other.covers(request))) {
+            let is_covered = is_first_attempt && unplaceable.covers(request);
+            if !is_covered && self.may_have_room(id, &mut with_room) {
                 match self.try_send(now, id, EndpointQueueing::Allowed, actions) {
-                    Selection::Send(_) => continue,
+                    Selection::Send(endpoint) => {
+                        with_room.record_send(&self.state, endpoint);
+                        continue;
+                    }
                     Selection::NoCapacity if is_first_attempt => {
-                        unplaceable.push(Unplaceable::of(&self.state.requests[&id]));
+                        unplaceable.insert(&self.state.requests[&id]);
                     }
                     Selection::NoCapacity | Selection::CheckFirst(_) | Selection::Wait => {}
                 }
@@ -109,9 +129,10 @@
                 .get(id)
                 .is_some_and(|request| !request.is_done)
         });
-        let value_density = |id: &RequestId| self.value_density(&self.state.requests[id]);
-        queue.sort_by(|a, b| value_density(b).total_cmp(&value_density(a)));
-        queue
+        let with_density = |id| (self.value_density(&self.state.requests[&id]), id);
+        let mut queue: Vec<_> = queue.into_iter().map(with_density).collect();
+        queue.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        queue.into_iter().map(|(_, id)| id).collect()
     }
 
     /// When a queued request is given up if it has not been sent.
--- a/crates/decisions/src/policy/mod.rs
+++ b/crates/decisions/src/policy/mod.rs
@@ -7,6 +7,7 @@
 //! | --- | --- |
 //! | [`selection`] | Which endpoint gets a request? |
 //! | [`preference`] | In which order are endpoints considered? |
+//! | [`functions`] | Which endpoints are considered for an additional function? |
 //! | [`eligibility`] | Which endpoints may be sent a request at all? |
 //! | [`capacity`] | How loaded is an endpoint estimated to be, and when would it start a request? |
 //! | [`slow_start`] | How much may be sent to an endpoint that has just started? |
@@ -29,6 +30,7 @@
 mod admission;
 mod capacity;
 mod eligibility;
+mod functions;
 mod health_checks;
 mod hedging;
 mod load_reports;
@@ -46,8 +48,9 @@
 use crate::api::{
     Action, EndpointEntry, Event, ListKind, LoadReportSource, Settings, SettingsError, Timestamp,
 };
-use crate::state::BalancerState;
+use crate::state::{BalancerState, ListChange};
 use crate::time::{divide, from_micros_f64, whole_micros};
+use functions::FunctionOrders;
 use preference::PreferenceOrder;
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -74,6 +77,11 @@
     state: BalancerState,
     /// The preference order of each class.
     preferences: Vec<PreferenceOrder>,
+    function_orders: FunctionOrders,
+    /// For each class, the number of endpoints that may serve it or one of its functions.
+    endpoint_counts: Vec<usize>,
+    /// Whether each machine kind is too slow for the tightest objective.
+    slow_kinds: Vec<bool>,
 }
 
 impl Balancer {
@@ -91,6 +99,9 @@
             .map(|_| PreferenceOrder::default())
             .collect();
         Ok(Balancer {
+            function_orders: FunctionOrders::new(&settings),
+            endpoint_counts: vec![0; settings.classes.len()],
+            slow_kinds: vec![false; settings.kind_count],
             settings,
             rng: fastrand::Rng::with_seed(seed),
             state,
@@ -167,8 +178,10 @@
         if self.state.last_idempotent_at == Timestamp::ORIGIN {
             self.state.last_idempotent_at = now;
         }
-        self.state.apply_list(now, kind, entries);
-        self.rebuild_preferences();
+        match self.state.apply_list(now, kind, entries) {
+            ListChange::Functions(functions) => self.update_preferences_of(&functions),
+            ListChange::Endpoints => self.rebuild_preferences(),
+        }
     }
 
     /// Schedules a subscription to the endpoint list after a bootstrap list or the loss of the
@@ -237,9 +250,9 @@
     /// Whether dispatchers outnumber the endpoints of every class. Each dispatcher then sees little
     /// of any one endpoint.
     fn is_large_fleet(&self) -> bool {
-        self.preferences
+        self.endpoint_counts
             .iter()
-            .all(|order| order.len() < self.settings.instance_count)
+            .all(|&count| count < self.settings.instance_count)
     }
 
     /// Whether the fleet is large and load can be polled. Other dispatchers then see the same load
--- a/crates/decisions/src/policy/preference.rs
+++ b/crates/decisions/src/policy/preference.rs
@@ -4,7 +4,7 @@
 //! then three for all other zones together. The three are the general kinds, the kinds that a more
 //! restricted class requires, and the kinds too slow for the tightest objective. Within a block,
 //! endpoints are in the order of their names. The order depends only on the endpoint list and on
-//! learnt slots.
+//! learnt slots. Additional functions have orders of their own, of the endpoints that list them.
 //!
 //! The order departs from the Allocation Priority Policies in two ways. In a common order of names,
 //! all dispatchers would start at the head of each block, so each starts at a position of its own.
@@ -13,7 +13,7 @@
 //! turns at endpoints in slow start.
 
 use super::Balancer;
-use crate::api::{Class, EndpointId, KindId, Timestamp};
+use crate::api::{Class, EndpointId, FunctionSet, KindId, Timestamp};
 use crate::math::{gcd, golden_multiple, hash};
 use crate::state::{Endpoint, Request};
 use crate::time::micros_f64;
@@ -55,7 +55,17 @@
     home_count: usize,
 }
 
+static EMPTY: PreferenceOrder = PreferenceOrder {
+    candidates: Vec::new(),
+    home_count: 0,
+};
+
 impl PreferenceOrder {
+    /// An order without endpoints.
+    pub(super) fn empty() -> &'static PreferenceOrder {
+        &EMPTY
+    }
+
     pub(super) fn len(&self) -> usize {
         self.candidates.len()
     }
@@ -85,27 +95,65 @@
 impl Balancer {
     /// Rebuilds the preference orders after a change of the endpoint list or of learnt slots.
     pub(super) fn rebuild_preferences(&mut self) {
+        let ready = self.ready_by_name();
+        self.slow_kinds = self.find_slow_kinds(&ready);
+        let order = |class: &Class| {
+            let may_serve = |id: &EndpointId| {
+                let endpoint = self.state.endpoint(*id);
+                class.allows(endpoint.zone, endpoint.kind)
+            };
+            let endpoints: Vec<_> = ready.iter().copied().filter(may_serve).collect();
+            self.preference_order(class, &endpoints)
+        };
+        self.preferences = self.settings.classes.iter().map(order).collect();
+        self.function_orders.discard_all();
+        self.count_endpoints(&ready);
+    }
+
+    /// Brings the preference orders up to date after only the functions of some endpoints have
+    /// changed.
+    pub(super) fn update_preferences_of(&mut self, functions: &FunctionSet) {
+        self.function_orders.discard(functions);
+        self.count_endpoints(&self.ready_by_name());
+    }
+
+    /// The endpoints that accept requests, in the order of their names.
+    pub(super) fn ready_by_name(&self) -> Vec<EndpointId> {
         let by_name = self.state.by_name.iter().copied();
-        let ready: Vec<_> = by_name
+        by_name
             .filter(|&id| self.state.endpoint(id).is_ready())
-            .collect();
-        let totals = self.kind_totals(&ready);
+            .collect()
+    }
+
+    fn count_endpoints(&mut self, ready: &[EndpointId]) {
+        let classes = 0..self.settings.classes.len();
+        self.endpoint_counts = if self.settings.functions.is_empty() {
+            self.preferences.iter().map(PreferenceOrder::len).collect()
+        } else {
+            classes
+                .map(|class| self.count_endpoints_of_class(class, ready))
+                .collect()
+        };
+    }
+
+    /// Whether each machine kind is too slow for the tightest objective.
+    fn find_slow_kinds(&self, ready: &[EndpointId]) -> Vec<bool> {
+        let totals = self.kind_totals(ready);
         let size: f64 = totals.iter().map(|kind| kind.size).sum();
         let slots: f64 = totals.iter().map(|kind| kind.slots).sum();
         let mean_size_per_slot = size / slots;
-        let classes = &self.settings.classes;
-        let smallest_stretch = classes
+        let smallest_stretch = self
+            .settings
+            .classes
             .iter()
             .map(|class| class.objective_stretch)
             .fold(f64::MAX, f64::min)
             .max(1.0);
         // If one size is not known, the sums are NaN and no kind counts as slow.
-        let is_slow_kind = |kind: KindId| {
-            let KindTotals { size, slots } = totals[kind.0];
+        let is_slow_kind = |KindTotals { size, slots }| {
             size / slots * smallest_stretch < SLOW_KIND_MULTIPLE * mean_size_per_slot
         };
-        let order = |class| self.preference_order(class, &ready, &is_slow_kind);
-        self.preferences = classes.iter().map(order).collect();
+        totals.into_iter().map(is_slow_kind).collect()
     }
 
     fn kind_totals(&self, ready: &[EndpointId]) -> Vec<KindTotals> {
@@ -122,11 +170,12 @@
         totals
     }
 
-    fn preference_order(
+    /// The order of the endpoints that may serve a class or one of its functions, which are given in
+    /// the order of their names.
+    pub(super) fn preference_order(
         &self,
         class: &Class,
-        ready: &[EndpointId],
-        is_slow_kind: &impl Fn(KindId) -> bool,
+        endpoints: &[EndpointId],
     ) -> PreferenceOrder {
         let classes = &self.settings.classes;
         let is_required = |kind| {
@@ -136,7 +185,7 @@
                 .any(|kinds| kinds.contains(&kind))
         };
         let block_of_kind = |kind: KindId| {
-            if is_slow_kind(kind) {
+            if self.slow_kinds[kind.0] {
                 SLOW_KINDS
             } else if class.allowed_kinds.is_none() && is_required(kind) {
                 REQUIRED_KINDS
@@ -150,9 +199,8 @@
             let is_member = |endpoint: &Endpoint| {
                 (Some(endpoint.zone) == self.settings.home_zone) == is_home_block
                     && block_of_kind(endpoint.kind) == block % BLOCKS_PER_ZONE_GROUP
-                    && class.allows(endpoint.zone, endpoint.kind)
             };
-            let members: Vec<_> = ready
+            let members: Vec<_> = endpoints
                 .iter()
                 .copied()
                 .filter(|&id| is_member(self.state.endpoint(id)))
@@ -196,7 +244,7 @@
         across_zones: bool,
         home_zone_is_lost: bool,
     ) -> Cow<'_, [Candidate]> {
-        let order = &self.preferences[request.class.0];
+        let order = self.order_for(request);
         let mut candidates = Cow::Borrowed(if across_zones {
             &order.candidates[..]
         } else {
--- a/crates/decisions/src/policy/requests.rs
+++ b/crates/decisions/src/policy/requests.rs
@@ -58,6 +58,7 @@
         let class_weight = self.settings.classes[incoming.class.0].priority_weight;
         Request {
             class: incoming.class,
+            function: incoming.function,
             started_at: now.saturating_sub(longest_remaining.saturating_sub(incoming.remaining)),
             deadline: now + incoming.remaining,
             slots: incoming.slots,
--- a/crates/decisions/src/policy/selection.rs
+++ b/crates/decisions/src/policy/selection.rs
@@ -72,6 +72,7 @@
         endpoint_queueing: EndpointQueueing,
         actions: &mut Vec<Action>,
     ) -> Selection {
+        self.prepare_order(self.state.requests[&id].function);
         let request = &self.state.requests[&id];
         let permission = self.permission(now, request);
         if permission.send.is_err() || now >= request.deadline {
@@ -131,9 +132,7 @@
             permission,
             recent_since: now
                 .saturating_sub(from_micros_f64(RECENT_UPDATE_RUNS * self.state.mean_run_us)),
-            reports_are_current: self.can_poll_load()
-                && self.state.report_interval_us
-                    < CURRENT_REPORT_INTERVAL_RUNS * self.state.mean_run_us,
+            reports_are_current: self.reports_are_current(),
         };
         let candidates = self.candidates_for(now, request, across_zones, home_zone_is_lost);
         let spare_slots_by_pass: &[f64] = if is_large_polled_fleet {
@@ -156,6 +155,12 @@
         Selection::NoCapacity
     }
 
+    /// Whether load reports change often enough to count as current.
+    pub(super) fn reports_are_current(&self) -> bool {
+        self.can_poll_load()
+            && self.state.report_interval_us < CURRENT_REPORT_INTERVAL_RUNS * self.state.mean_run_us
+    }
+
     fn may_cross_zones(&self, now: Timestamp, request: &Request) -> bool {
         let objective_us = micros_f64(self.settings.classes[request.class.0].latency_objective);
         let home_wait = self.settings.prices.cross_zone.min(MAX_HOME_ZONE_WAIT);
@@ -218,7 +223,8 @@
             self.is_eligible(now, candidate.endpoint, request, permission)
                 && self.would_start_soon(now, self.state.endpoint(candidate.endpoint), request)
         };
-        let found = self.preferences[request.class.0]
+        let found = self
+            .order_for(request)
             .candidates()
             .iter()
             .find(would_start_soon);
--- a/crates/decisions/src/rules/mod.rs
+++ b/crates/decisions/src/rules/mod.rs
@@ -35,6 +35,9 @@
     /// The endpoint is not known.
     #[error("the endpoint is unknown")]
     UnknownEndpoint,
+    /// The endpoint does not list the function of the request.
+    #[error("the endpoint does not list the function of the request")]
+    FunctionNotListed,
     /// The endpoint is draining or gone.
     #[error("the endpoint is draining or gone")]
     EndpointLeaving,
--- a/crates/decisions/src/settings/convert.rs
+++ b/crates/decisions/src/settings/convert.rs
@@ -61,6 +61,7 @@
             zone_count: self.zones.len().max(1),
             home_zone: self.home_zone_id()?,
             kind_count: self.kinds.len().max(1),
+            functions: Vec::new(),
             classes: self
                 .classes
                 .iter()
--- a/crates/decisions/src/state/endpoint.rs
+++ b/crates/decisions/src/state/endpoint.rs
@@ -1,7 +1,9 @@
 //! Per-endpoint state: list data, load, health and slow start.
 
 use super::Throughput;
-use crate::api::{EndpointState, KindId, LoadReport, Timestamp, ZoneId};
+use crate::api::{
+    EndpointEntry, EndpointState, FunctionSet, KindId, LoadReport, Timestamp, ZoneId,
+};
 use crate::math::ewma_weight;
 
 /// Time constant of the moving averages of an endpoint's used slots. With a shorter one, the
@@ -20,6 +22,8 @@
     pub(crate) name: Option<String>,
     pub(crate) zone: ZoneId,
     pub(crate) kind: KindId,
+    /// The additional functions that it can run.
+    pub(crate) functions: FunctionSet,
     pub(crate) cell: Option<u64>,
     pub(crate) relative_size: f64,
     pub(crate) state: EndpointState,
@@ -142,6 +146,20 @@
         self.update_own_slots_mean(now);
     }
 
+    /// Whether this entry lists other functions than are known, and changes nothing else.
+    pub(super) fn differs_in_functions_only(&self, entry: &EndpointEntry) -> bool {
+        self.functions != *entry.functions
+            && self.name.as_deref() == Some(entry.name)
+            && self.zone == entry.zone
+            && self.kind == entry.kind
+            && self.cell == entry.cell
+            && self.state == entry.state
+            && self.listed_started_at == entry.started_at
+            && self.relative_size.to_bits() == entry.relative_size.to_bits()
+            && self.skips_slow_start == entry.skips_slow_start
+            && self.max_concurrent == entry.max_concurrent
+    }
+
     /// Whether the list says that it accepts requests.
     pub(crate) fn is_ready(&self) -> bool {
         self.state == EndpointState::Ready
--- a/crates/decisions/src/state/mod.rs
+++ b/crates/decisions/src/state/mod.rs
@@ -10,8 +10,8 @@
 pub(crate) use request::{Attempt, Request};
 
 use crate::api::{
-    EndpointEntry, EndpointId, EndpointState, KindId, ListKind, RequestId, Settings, Timestamp,
-    ZoneId,
+    EndpointEntry, EndpointId, EndpointState, FunctionSet, KindId, ListKind, RequestId, Settings,
+    Timestamp, ZoneId,
 };
 use crate::math::{fnv1a, hash_text};
 use crate::rules::Execution;
@@ -26,6 +26,14 @@
 /// Initial estimate of the share of an endpoint's slots that other dispatchers use.
 const INITIAL_ZONE_USAGE: f64 = 0.5;
 
+/// What the entries of an endpoint list have changed.
+pub(crate) enum ListChange {
+    /// Only the functions of some endpoints; those that any of them now lists or no longer lists.
+    Functions(FunctionSet),
+    /// Anything else, or nothing.
+    Endpoints,
+}
+
 /// The state of a balancer.
 pub(crate) struct BalancerState {
     /// Indexed by [`EndpointId`].
@@ -220,7 +228,13 @@
     }
 
     /// Applies entries of the endpoint list. Endpoints that a whole list leaves out are gone.
-    pub(crate) fn apply_list(&mut self, now: Timestamp, kind: ListKind, entries: &[EndpointEntry]) {
+    pub(crate) fn apply_list(
+        &mut self,
+        now: Timestamp,
+        kind: ListKind,
+        entries: &[EndpointEntry],
+    ) -> ListChange {
+        let change = self.change_by(kind, entries);
         if matches!(kind, ListKind::Snapshot | ListKind::Bootstrap) {
             for endpoint in &mut self.endpoints {
                 endpoint.state = EndpointState::Gone;
@@ -235,6 +249,25 @@
             self.by_name
                 .sort_by(|a, b| endpoints[a.index()].name.cmp(&endpoints[b.index()].name));
         }
+        change
+    }
+
+    /// What these entries would change.
+    fn change_by(&self, kind: ListKind, entries: &[EndpointEntry]) -> ListChange {
+        let mut changed = FunctionSet::default();
+        for entry in entries {
+            let known = self.endpoints.get(entry.endpoint.index());
+            let known = known.filter(|known| known.differs_in_functions_only(entry));
+            let Some(known) = known.filter(|_| kind == ListKind::Delta) else {
+                return ListChange::Endpoints;
+            };
+            changed.extend(&known.functions.symmetric_difference(entry.functions));
+        }
+        if changed.is_empty() {
+            ListChange::Endpoints
+        } else {
+            ListChange::Functions(changed)
+        }
     }
 
     /// Applies one entry of the endpoint list. Returns whether the name under its id has changed.
@@ -261,6 +294,7 @@
         endpoint.process_hash = fnv1a(entry.started_at.as_micros(), entry.name);
         endpoint.zone = entry.zone;
         endpoint.kind = entry.kind;
+        endpoint.functions.clone_from(entry.functions);
         endpoint.cell = entry.cell;
         endpoint.state = entry.state;
         endpoint.listed_started_at = entry.started_at;
--- a/crates/decisions/src/state/request.rs
+++ b/crates/decisions/src/state/request.rs
@@ -1,13 +1,15 @@
 //! Open requests and their attempts.
 
 use super::Endpoint;
-use crate::api::{ClassId, EndpointId, Timestamp, ZoneId};
+use crate::api::{ClassId, EndpointId, FunctionId, Timestamp, ZoneId};
 use crate::rules::{AttemptRecord, Execution};
 use std::time::Duration;
 
 /// An open request; kept until it is done and has no attempt in flight.
 pub(crate) struct Request {
     pub(crate) class: ClassId,
+    /// The additional function that an endpoint needs to run it.
+    pub(crate) function: Option<FunctionId>,
     /// When its client first sent it, as derived from the remaining time.
     pub(crate) started_at: Timestamp,
     pub(crate) deadline: Timestamp,
--- a/crates/decisions/tests/capacity.rs
+++ b/crates/decisions/tests/capacity.rs
@@ -15,6 +15,7 @@
         sent_to(&host.handle(Event::RequestArrived(IncomingRequest {
             request: RequestId(number),
             class: ClassId(0),
+            function: None,
             remaining: 5_000 * MS,
             slots,
             memory,
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -34,6 +34,7 @@
         home_zone: Some(ZoneId(0)),
         kind_count: 1,
         classes: vec![class(idempotency)],
+        functions: vec![],
         tenants: vec![],
         over_quota_weight: 1.0,
         prices: Prices::default(),
@@ -77,6 +78,7 @@
         name: NAMES[endpoint as usize],
         zone: ZoneId(zone),
         kind: KindId(0),
+        functions: FunctionSet::empty(),
         cell: Some(zone as u64),
         state: EndpointState::Ready,
         started_at: Timestamp::ORIGIN,
@@ -113,6 +115,8 @@
     pub affinity_key: Option<u64>,
     /// The tenant of the next requests.
     pub tenant: Option<TenantId>,
+    /// The additional function of the next requests.
+    pub function: Option<FunctionId>,
 }
 
 impl TestHost {
@@ -129,6 +133,7 @@
             work_hint: None,
             affinity_key: None,
             tenant: None,
+            function: None,
         };
         host.update_endpoints(ListKind::Bootstrap, endpoints);
         for entry in endpoints {
@@ -183,6 +188,7 @@
         let actions = self.handle(Event::RequestArrived(IncomingRequest {
             request,
             class: ClassId(class),
+            function: self.function,
             remaining: 5_000 * MS,
             slots,
             memory: 0.0,
--- a/crates/decisions/tests/deployments.rs
+++ b/crates/decisions/tests/deployments.rs
@@ -46,6 +46,7 @@
     let mut actions = host.handle(Event::RequestArrived(IncomingRequest {
         request,
         class: ClassId(0),
+        function: None,
         remaining: 15_000 * MS,
         slots: 1.0,
         memory,
--- a/crates/decisions/tests/random_events/main.rs
+++ b/crates/decisions/tests/random_events/main.rs
@@ -103,6 +103,7 @@
         self.handle(Event::RequestArrived(IncomingRequest {
             request,
             class: ClassId(class),
+            function: None,
             remaining,
             slots,
             memory: 0.5,
--- a/crates/decisions/tests/retry_rules.rs
+++ b/crates/decisions/tests/retry_rules.rs
@@ -61,6 +61,7 @@
     IncomingRequest {
         request: RequestId(0),
         class: ClassId(0),
+        function: None,
         remaining: Duration::ZERO,
         slots: 1.0,
         memory: 0.0,
@@ -163,6 +164,7 @@
         let incoming = IncomingRequest {
             request: other_request,
             class: ClassId(0),
+            function: None,
             remaining: 300 * MS,
             ..incoming_request()
         };
--- a/crates/net/src/config/memory.rs
+++ b/crates/net/src/config/memory.rs
@@ -20,6 +20,10 @@
 const ALLOCATOR_DIVISOR: usize = 6;
 /// What an endpoint on a list takes: its record, its estimates, its client.
 pub(crate) const BYTES_PER_ENDPOINT: usize = 1 << 10;
+/// What a worker takes in the order of each additional function that it can do.
+const BYTES_PER_WORKER_OF_FUNCTION: usize = 10;
+/// The orders of functions may take one in this many parts of the budget.
+const FUNCTIONS_DIVISOR: usize = 4;
 /// What a remembered request id takes, while the table that holds it grows.
 const BYTES_PER_CONSUMED_ID: usize = 32;
 /// Endpoints may take this share of the budget, in percent.
@@ -60,6 +64,47 @@
     }
 }
 
+/// The additional functions of a deployment need more memory than there is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "functions: {functions} functions beside those that stand for a whole class, for {workers} \
+     connections, take {needed} bytes of memory; with this memory limit at most {available}"
+)]
+pub struct TooManyFunctions {
+    functions: usize,
+    workers: usize,
+    needed: usize,
+    available: usize,
+}
+
+impl MemoryLimits {
+    /// Takes the memory for the orders of additional functions from the budget.
+    ///
+    /// # Errors
+    ///
+    /// They need too large a part of it.
+    pub fn reserve_functions(
+        &mut self,
+        functions: usize,
+        workers: usize,
+    ) -> Result<(), TooManyFunctions> {
+        let needed = functions
+            .saturating_mul(workers)
+            .saturating_mul(BYTES_PER_WORKER_OF_FUNCTION);
+        let available = self.shared / FUNCTIONS_DIVISOR;
+        if needed > available {
+            return Err(TooManyFunctions {
+                functions,
+                workers,
+                needed,
+                available,
+            });
+        }
+        self.shared -= needed;
+        Ok(())
+    }
+}
+
 /// The number of connections to endpoints that the memory permits.
 pub(super) fn max_endpoint_connections(memory_mb: u64) -> usize {
     usable(memory_mb) / ENDPOINT_CONNECTIONS_DIVISOR / BYTES_PER_ENDPOINT_CONNECTION
--- a/crates/net/src/config/mod.rs
+++ b/crates/net/src/config/mod.rs
@@ -17,7 +17,7 @@
 pub use error::ConfigError;
 pub use gearman::{Function, GearmanConfig};
 pub(crate) use memory::BYTES_PER_ENDPOINT;
-pub use memory::MemoryLimits;
+pub use memory::{MemoryLimits, TooManyFunctions};
 pub use pumiceway_core::IdempotencyCacheLimits;
 pub use reload::{Reload, StartupValues};
 pub use sockets::SocketBudget;
--- a/crates/net/src/discovery/list_message.rs
+++ b/crates/net/src/discovery/list_message.rs
@@ -2,7 +2,7 @@
 
 use crate::excerpt::excerpt;
 use pumiceway_core::{Endpoint, EndpointAddress};
-use pumiceway_decisions::api::{EndpointState, Timestamp};
+use pumiceway_decisions::api::{EndpointState, FunctionSet, Timestamp};
 use pumiceway_decisions::settings::DeploymentSettings;
 use serde::Deserialize;
 use tracing::warn;
@@ -132,6 +132,7 @@
             address: EndpointAddress::Network(self.address),
             zone,
             kind,
+            functions: FunctionSet::default(),
             cell: self.cell,
             state: match self.state {
                 ListedState::Ready => EndpointState::Ready,
--- a/crates/net/src/event_loop/dispatcher.rs
+++ b/crates/net/src/event_loop/dispatcher.rs
@@ -4,18 +4,21 @@
 use crate::config::{Config, GearmanConfig, Reload, ZooKeeperConfig};
 use crate::discovery::zookeeper::ZooKeeperSource;
 use crate::discovery::{ListLimits, SourceUpdate};
-use crate::frontend::gearman::workers::{MAX_CLASSES, SessionKinds, WorkerSessions};
+use crate::frontend::gearman::workers::WorkerSessions;
 use crate::frontend::gearman::{GearmanFrontend, SPARE_CONNECTIONS};
 use crate::frontend::http::HttpFrontend;
 use crate::frontend::{EventSender, FrontendState};
-use pumiceway_core::{Core, CoreLimits, EndpointSource, Event, IdempotencyCacheLimits};
+use pumiceway_core::{
+    Core, CoreLimits, EndpointSource, Event, FunctionCatalog, IdempotencyCacheLimits,
+};
 use pumiceway_memory::MemoryBudget;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tracing::info;
+use tracing::{info, warn};
 
 /// A dispatcher with bound listeners.
 pub struct Dispatcher {
@@ -87,17 +90,23 @@
         let (events, messages) = EventSender::new();
         let (close_frontends, closing) = watch::channel(FrontendState::Open);
         let mut frontends = JoinSet::new();
+        let workers = gearman
+            .as_ref()
+            .map(|gearman| prepare_gearman(&mut config, &gearman.config, &events))
+            .transpose()?;
         let memory = MemoryBudget::new(config.memory.shared);
         let mut limits = CoreLimits {
             max_consumed_ids: config.memory.consumed_ids,
             max_endpoints: config.memory.endpoints,
             ..CoreLimits::default()
         };
-        let mut workers = None;
-        if let Some(GearmanListener {
-            config: gearman,
-            listener,
-        }) = gearman
+        if let (
+            Some(GearmanListener {
+                config: gearman,
+                listener,
+            }),
+            Some(workers),
+        ) = (gearman, workers.clone())
         {
             limits.cache = IdempotencyCacheLimits {
                 max_bytes: gearman
@@ -107,16 +116,9 @@
                 max_entry_bytes: config.memory.cache_entries,
                 ..gearman.cache_limits
             };
-            let sessions = prepare_gearman(&mut config, &gearman, &events)?;
-            workers = Some(sessions.clone());
             let deployment = config.deployment.clone();
-            let frontend = GearmanFrontend::new(
-                events.clone(),
-                deployment,
-                gearman,
-                sessions,
-                memory.clone(),
-            );
+            let frontend =
+                GearmanFrontend::new(events.clone(), deployment, gearman, workers, memory.clone());
             frontends.spawn(frontend.serve(listener, closing.clone(), move || clock.now()));
         }
         let core = Core::new(config.settings, config.seed, limits).map_err(io::Error::other)?;
@@ -198,8 +200,7 @@
 }
 
 /// Adapts the configuration to the Gearman frontend and creates its worker sessions: reserves its
-/// connections in the socket budget and adds the machine kinds of worker sessions. Also limits the
-/// length of the queue, and sets the maximum queue time of classes that have none to their
+/// connections in the socket budget and the memory of its functions, and adds these to the settings. Also limits the length of the queue, and sets the maximum queue time of classes that have none to their
 /// deadline; both apply to the requests of all frontends.
 fn prepare_gearman(
     config: &mut Config,
@@ -208,15 +209,41 @@
 ) -> io::Result<WorkerSessions> {
     let sockets = gearman.connections + SPARE_CONNECTIONS;
     config.socket_budget.inbound -= sockets.min(config.socket_budget.inbound / 2);
-    let kinds = SessionKinds::add(&mut config.settings)
-        .ok_or_else(|| io::Error::other(format!("gearman: more than {MAX_CLASSES} classes")))?;
+    let catalog = add_functions(config, gearman)?;
     for class in &mut config.settings.classes {
         class.max_queue_time = class.max_queue_time.or(Some(class.deadline));
     }
     config.settings.max_queued = gearman.queue;
     Ok(WorkerSessions::new(
         events.clone(),
-        kinds,
+        Arc::new(catalog),
         gearman.skips_slow_start,
     ))
 }
+
+fn add_functions(config: &mut Config, gearman: &GearmanConfig) -> io::Result<FunctionCatalog> {
+    let deployment = config.deployment.clone();
+    let class_names: Vec<&str> = deployment
+        .classes
+        .iter()
+        .map(|class| class.name.as_str())
+        .collect();
+    let functions = gearman.functions.iter();
+    let functions = functions.map(|(name, function)| (name.as_str(), function.class));
+    let catalog = FunctionCatalog::add(&mut config.settings, &class_names, functions)
+        .map_err(|error| io::Error::other(format!("gearman: {error}")))?;
+    let additional = config.settings.functions.len();
+    config
+        .memory
+        .reserve_functions(additional, gearman.connections)
+        .map_err(io::Error::other)?;
+    for (class, functions) in catalog.classes_without_default() {
+        warn!(
+            class = class_names[class.0],
+            functions = functions.join(", "),
+            "no function has the name of the class; HTTP requests go to HTTP endpoints only, and the \
+             jobs of the functions to workers only"
+        );
+    }
+    Ok(catalog)
+}
--- a/crates/net/src/event_loop/effects.rs
+++ b/crates/net/src/event_loop/effects.rs
@@ -6,7 +6,7 @@
 use crate::upstream::{AttemptObserver, AttemptOptions};
 use pumiceway_core::{
     AttemptId, AttemptOutcome, AttemptUpdate, ClientResponse, Effect, EndpointAddress,
-    EndpointSource, Event, HealthCheckId, Job,
+    EndpointSource, Event, HealthCheckId, Job, JobFunction,
 };
 use pumiceway_decisions::api::{ClassId, EndpointId, LoadReport, Outcome, Timestamp};
 use pumiceway_decisions::rules::LeaseSignal;
@@ -57,13 +57,13 @@
                 attempt_index,
                 endpoint,
                 address,
-                class,
+                function,
                 job,
                 remaining,
                 dedicated_connection,
                 write_by,
             } => {
-                let class_name = self.class_name(class);
+                let class_name = self.class_name(function.class);
                 // Correlates the attempt with its request and its endpoint in the log.
                 debug!(
                     request_id = job.id,
@@ -71,6 +71,7 @@
                     attempt_index,
                     endpoint = %address,
                     class = class_name,
+                    function = self.function_name(function),
                     "attempt starts"
                 );
                 let write_by = write_by.map(|at| Instant::from_std(self.clock.instant(at)));
@@ -84,7 +85,7 @@
                         self.start_attempt(attempt, endpoint, &address, &job, options);
                     }
                     (EndpointAddress::Session(session), Some(workers)) => {
-                        workers.start(session, attempt, class, job);
+                        workers.start(session, attempt, function, job);
                     }
                     (EndpointAddress::Session(_), None) => self.report_connect_failure(attempt),
                 }
@@ -278,11 +279,17 @@
             .map_or("?", |class| &class.name)
     }
 
+    /// The name of a function for workers; `None` without the Gearman frontend.
+    fn function_name(&self, function: JobFunction) -> Option<&str> {
+        self.workers.as_ref()?.catalog().name(function)
+    }
+
     /// Logs failed requests at `warn` and rejected ones at `info`; the others only at `debug`,
     /// because there are too many of them.
     fn log_response(&self, client: &PendingClient, response: &ClientResponse) {
         let request_id = &client.job.id;
-        let class = self.class_name(client.class);
+        let class = self.class_name(client.function.class);
+        let function = self.function_name(client.function);
         let elapsed_ms = self
             .clock
             .now()
@@ -291,13 +298,16 @@
         let outcome = response.as_str();
         match response {
             ClientResponse::Failed(reason) => {
-                warn!(request_id, class, outcome, %reason, elapsed_ms, "request ended");
+                warn!(request_id, class, function, outcome, %reason, elapsed_ms, "request ended");
             }
             ClientResponse::Rejected(reason) => {
-                info!(request_id, class, outcome, %reason, elapsed_ms, "request ended");
+                info!(request_id, class, function, outcome, %reason, elapsed_ms, "request ended");
             }
             ClientResponse::Served(_) | ClientResponse::Overloaded { .. } => {
-                debug!(request_id, class, outcome, elapsed_ms, "request ended");
+                debug!(
+                    request_id,
+                    class, function, outcome, elapsed_ms, "request ended"
+                );
             }
         }
     }
--- a/crates/net/src/event_loop/mod.rs
+++ b/crates/net/src/event_loop/mod.rs
@@ -26,9 +26,9 @@
 use memory_log::MemoryLog;
 use pumiceway_core::{
     AttemptId, AttemptUpdate, ClientRequest, ClientResponse, Core, Endpoint, EndpointListUpdate,
-    EndpointSource, Event, Job, RequestHandle,
+    EndpointSource, Event, Job, JobFunction, RequestHandle,
 };
-use pumiceway_decisions::api::{ClassId, EndpointId, Timestamp};
+use pumiceway_decisions::api::{EndpointId, Timestamp};
 use pumiceway_decisions::settings::DeploymentSettings;
 use pumiceway_memory::MemoryBudget;
 use std::collections::HashMap;
@@ -60,7 +60,7 @@
     /// Receives progress, if the client subscribed to it.
     updates: Option<mpsc::UnboundedSender<AttemptUpdate>>,
     job: Arc<Job>,
-    class: ClassId,
+    function: JobFunction,
     submitted_at: Timestamp,
 }
 
@@ -251,14 +251,15 @@
         response: oneshot::Sender<ClientResponse>,
         updates: Option<mpsc::UnboundedSender<AttemptUpdate>>,
     ) {
-        let (job, class, submitted_at) = (request.job.clone(), request.class, self.clock.now());
+        let (job, function) = (request.job.clone(), request.function);
+        let submitted_at = self.clock.now();
         self.clients.insert(
             handle,
             PendingClient {
                 response,
                 updates,
                 job,
-                class,
+                function,
                 submitted_at,
             },
         );
--- a/crates/net/src/event_loop/tests.rs
+++ b/crates/net/src/event_loop/tests.rs
@@ -5,7 +5,8 @@
 use super::*;
 use crate::config::Config;
 use bytes::Bytes;
-use pumiceway_core::{AttemptOutcome, ClassOverview, ClientRequest, CoreLimits, IdOrigin};
+use pumiceway_core::{AttemptOutcome, ClientRequest, CoreLimits, IdOrigin, RequestCounts};
+use pumiceway_decisions::api::ClassId;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
@@ -56,7 +57,7 @@
 ) -> (LoopMessage, oneshot::Receiver<ClientResponse>) {
     let (sender, response) = oneshot::channel();
     let request = ClientRequest {
-        class,
+        function: JobFunction::default_of(class),
         remaining,
         slots: 1.0,
         memory: 0.0,
@@ -199,7 +200,7 @@
             overview
                 .classes
                 .iter()
-                .all(|class| *class == ClassOverview::default()),
+                .all(|class| *class == RequestCounts::default()),
             "{order:?}: {overview:?}"
         );
         // Whatever was aborted, the next attempt is served on the same connection.
--- a/crates/net/src/event_loop/tests/sockets.rs
+++ b/crates/net/src/event_loop/tests/sockets.rs
@@ -4,7 +4,7 @@
 use super::{job, submission};
 use crate::upstream::AttemptOptions;
 use pumiceway_core::{AttemptOutcome, CoreLimits, Endpoint, EndpointAddress};
-use pumiceway_decisions::api::{EndpointState, KindId, ZoneId};
+use pumiceway_decisions::api::{ClassId, EndpointState, FunctionSet, KindId, ZoneId};
 use std::io::{Read, Write};
 use std::net::{TcpListener as Listener, TcpStream};
 use std::time::Duration;
@@ -55,6 +55,7 @@
         address: EndpointAddress::Network(listener.local_addr().unwrap().to_string()),
         zone: ZoneId(0),
         kind: KindId(0),
+        functions: FunctionSet::default(),
         cell: None,
         state: EndpointState::Ready,
         started_at: Timestamp::ORIGIN,
--- a/crates/net/src/frontend/gearman/admin.rs
+++ b/crates/net/src/frontend/gearman/admin.rs
@@ -1,9 +1,8 @@
 //! The responses to admin commands, in the text format of Gearman's admin protocol.
 
 use super::GearmanFrontend;
-use crate::config::Function;
 use bytes::Bytes;
-use pumiceway_core::Overview;
+use pumiceway_core::{Overview, RequestCounts};
 use std::fmt::Write;
 
 /// The response to an admin command for whose response there is no memory.
@@ -30,16 +29,17 @@
     format!("{lines}.\n")
 }
 
-/// For each function: its name, the open requests and the requests in flight of its class, and the
-/// number of workers that can do it.
+/// For each function: its name, its open requests, those in flight, and the number of workers that can
+/// do it.
 fn status_lines(frontend: &GearmanFrontend, overview: &Overview) -> String {
-    let line = |(name, function): (&String, &Function)| {
-        let class = function.class.0;
-        let class = overview.classes.get(class).copied().unwrap_or_default();
-        let workers = frontend.workers.count_able(&frontend.functions, name);
-        format!("{name}\t{}\t{}\t{workers}\n", class.open, class.in_flight)
+    let line = |name: &String| {
+        let function = frontend.workers.catalog().function(name)?;
+        let counts = overview.functions.get(&function);
+        let RequestCounts { open, in_flight } = counts.copied().unwrap_or_default();
+        let workers = frontend.workers.count_able(function);
+        Some(format!("{name}\t{open}\t{in_flight}\t{workers}\n"))
     };
-    frontend.functions.0.iter().map(line).collect()
+    frontend.functions.keys().filter_map(line).collect()
 }
 
 /// For each endpoint: its name, its state and its zone.
--- a/crates/net/src/frontend/gearman/clients/mod.rs
+++ b/crates/net/src/frontend/gearman/clients/mod.rs
@@ -9,12 +9,12 @@
 mod submission;
 
 pub use statuses::JobStatuses;
+use submission::KnownFunction;
 pub use submission::Submission;
 
 use super::GearmanFrontend;
 use super::codec::Packet;
 use super::outbox::Outbox;
-use crate::config::Function;
 use bytes::Bytes;
 use job::{JobPermit, JobSender};
 use pumiceway_core::ClientResponse;
@@ -95,7 +95,7 @@
         }
     }
 
-    fn create(&mut self, submission: Submission, function: Function) -> Option<AcceptedJob> {
+    fn create(&mut self, submission: Submission, function: KnownFunction) -> Option<AcceptedJob> {
         let id = format!("{:016x}", fastrand::u64(..));
         let handle = format!("H:pumiceway:{id}");
         self.outbox.send(Packet::JobCreated {
@@ -149,7 +149,7 @@
 pub(super) struct AcceptedJob {
     id: String,
     submission: Submission,
-    function: Function,
+    function: KnownFunction,
     permit: JobPermit,
     sender: JobSender,
 }
--- a/crates/net/src/frontend/gearman/clients/submission.rs
+++ b/crates/net/src/frontend/gearman/clients/submission.rs
@@ -4,7 +4,7 @@
 use crate::frontend::gearman::GearmanFrontend;
 use crate::frontend::gearman::codec::{MAX_WORKLOAD, Packet};
 use bytes::Bytes;
-use pumiceway_core::{ClientRequest, IdOrigin, Job};
+use pumiceway_core::{ClientRequest, IdOrigin, Job, JobFunction};
 use pumiceway_decisions::settings::RepeatSemantics;
 use std::fmt::Write;
 use std::sync::Arc;
@@ -18,6 +18,13 @@
     pub workload: Bytes,
 }
 
+/// A function that clients may call, and how its jobs are handled.
+#[derive(Clone, Copy)]
+pub struct KnownFunction {
+    function: JobFunction,
+    config: Function,
+}
+
 /// Why a job is not accepted.
 pub enum SubmitError {
     Background,
@@ -55,14 +62,14 @@
     /// Background jobs are rejected: every job must get one final response, but no client would
     /// receive an overload response or a failure, and the dispatcher has no disk to queue the job
     /// on.
-    pub fn check(&self, frontend: &GearmanFrontend) -> Result<Function, SubmitError> {
+    pub fn check(&self, frontend: &GearmanFrontend) -> Result<KnownFunction, SubmitError> {
         if self.background {
             return Err(SubmitError::Background);
         }
-        let Some(function) = frontend.functions.get(&self.function) else {
-            return Err(SubmitError::UnknownFunction(self.function.clone()));
-        };
-        if is_keyed(frontend, function) && self.unique_id.trim() != self.unique_id {
+        let function = self.find_function(frontend);
+        let function =
+            function.ok_or_else(|| SubmitError::UnknownFunction(self.function.clone()))?;
+        if is_keyed(frontend, function.function) && self.unique_id.trim() != self.unique_id {
             return Err(SubmitError::InvalidUniqueId);
         }
         if self.workload.len() > MAX_WORKLOAD {
@@ -71,25 +78,33 @@
         Ok(function)
     }
 
+    fn find_function(&self, frontend: &GearmanFrontend) -> Option<KnownFunction> {
+        Some(KnownFunction {
+            function: frontend.workers.catalog().function(&self.function)?,
+            config: *frontend.functions.get(&self.function)?,
+        })
+    }
+
     /// Converts the job to a request with this id and body.
     pub fn into_request(
         self,
         id: String,
         body: Bytes,
-        function: Function,
+        function: KnownFunction,
         frontend: &GearmanFrontend,
     ) -> ClientRequest {
         let unique_id =
             Some(self.unique_id).filter(|unique_id| !unique_id.is_empty() && unique_id != "-");
         let name = unique_id.as_ref().unwrap_or(&id);
+        let KnownFunction { function, config } = function;
         let class_name = &frontend.settings.classes[function.class.0].name;
         let path = format!("/{class_name}/{}", percent_encode(name));
         // The key of an HTTP client and the unique id of a Gearman client are the same key.
         let idempotency_key = is_keyed(frontend, function).then(|| name.clone());
         ClientRequest {
-            class: function.class,
-            remaining: function.deadline,
-            slots: function.slots,
+            function,
+            remaining: config.deadline,
+            slots: config.slots,
             memory: 0.0,
             tenant: None,
             id_origin: IdOrigin::Frontend,
@@ -105,7 +120,7 @@
 }
 
 /// Whether endpoints recognise a repeat of the function's jobs by their idempotency keys.
-fn is_keyed(frontend: &GearmanFrontend, function: Function) -> bool {
+fn is_keyed(frontend: &GearmanFrontend, function: JobFunction) -> bool {
     let class = &frontend.settings.classes[function.class.0];
     matches!(class.repeats, RepeatSemantics::Keyed)
 }
--- a/crates/net/src/frontend/gearman/connection.rs
+++ b/crates/net/src/frontend/gearman/connection.rs
@@ -299,8 +299,8 @@
         let workers = &self.frontend.workers;
         match packet {
             Packet::CanDo { function } => self.can_do(function),
-            Packet::CantDo { function } => workers.cant_do(session_id, Some(&function)),
-            Packet::ResetAbilities => workers.cant_do(session_id, None),
+            Packet::CantDo { function } => workers.cant_do(session_id, &function),
+            Packet::ResetAbilities => workers.reset_abilities(session_id),
             Packet::PreSleep => workers.pre_sleep(session_id),
             Packet::GrabJob { with_unique } => {
                 self.outbox.send(workers.grab_job(session_id, with_unique));
@@ -355,16 +355,13 @@
         }
     }
 
-    fn can_do(&self, function: String) {
-        match self.frontend.functions.class(&function) {
-            Some(class) => self.frontend.workers.can_do(
-                self.session_id,
-                self.opened_at,
-                &self.outbox,
-                class,
-                function,
-            ),
-            None => self.send_error("UNKNOWN_FUNCTION", function),
+    fn can_do(&self, name: String) {
+        let workers = &self.frontend.workers;
+        match workers.catalog().function(&name) {
+            Some(function) => {
+                workers.can_do(self.session_id, self.opened_at, &self.outbox, function);
+            }
+            None => self.send_error("UNKNOWN_FUNCTION", name),
         }
     }
 
--- a/crates/net/src/frontend/gearman/connection/tests.rs
+++ b/crates/net/src/frontend/gearman/connection/tests.rs
@@ -4,13 +4,14 @@
 use super::*;
 use crate::config::{Config, Function, GearmanConfig};
 use crate::frontend::admission::Admission;
-use crate::frontend::gearman::workers::{SessionKinds, WorkerSessions};
+use crate::frontend::gearman::workers::WorkerSessions;
 use crate::frontend::{EventSender, FrontendState, LoopMessage};
-use pumiceway_core::{ClientResponse, IdempotencyCacheLimits};
+use pumiceway_core::{ClientResponse, FunctionCatalog, IdempotencyCacheLimits};
 use pumiceway_decisions::api::ClassId;
 use pumiceway_memory::MemoryBudget;
 use pumiceway_test_support::{SETTINGS, encode_packet};
 use std::io::{Read, Write};
+use std::sync::Arc;
 use tokio::sync::watch;
 
 /// With this many repetitions, an event is practically never picked last in all of them.
@@ -30,7 +31,8 @@
 pub(super) fn frontend_with(events: &EventSender, memory: MemoryBudget) -> GearmanFrontend {
     let text = format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#);
     let mut config = Config::from_text(&text, "config", |_| None).unwrap();
-    let kinds = SessionKinds::add(&mut config.settings).unwrap();
+    let functions = [("rate-push", ClassId(0))];
+    let catalog = FunctionCatalog::add(&mut config.settings, &[], functions).unwrap();
     let function = Function {
         class: ClassId(0),
         slots: 1.0,
@@ -45,7 +47,7 @@
         cache_limits: IdempotencyCacheLimits::default(),
         functions: [("rate-push".to_owned(), function)].into(),
     };
-    let workers = WorkerSessions::new(events.clone(), kinds, true);
+    let workers = WorkerSessions::new(events.clone(), Arc::new(catalog), true);
     GearmanFrontend::new(events.clone(), config.deployment, gearman, workers, memory)
 }
 
--- a/crates/net/src/frontend/gearman/mod.rs
+++ b/crates/net/src/frontend/gearman/mod.rs
@@ -23,7 +23,7 @@
 use crate::frontend::{CloseSignal, EventSender, wait_for_close};
 use clients::JobStatuses;
 use connection::{AcceptedConnection, ShutdownGuard};
-use pumiceway_decisions::api::{ClassId, Timestamp};
+use pumiceway_decisions::api::Timestamp;
 use pumiceway_decisions::settings::DeploymentSettings;
 use pumiceway_memory::MemoryBudget;
 use std::collections::BTreeMap;
@@ -38,26 +38,13 @@
 /// Number of connections over the limit, or evicted, that linger until the peer has read why.
 pub const SPARE_CONNECTIONS: usize = 4;
 
-/// The configured functions, by name.
-pub struct Functions(BTreeMap<String, Function>);
-
-impl Functions {
-    /// Returns the class of a function; `None` if the function is not configured.
-    pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.get(name).map(|function| function.class)
-    }
-
-    fn get(&self, name: &str) -> Option<Function> {
-        self.0.get(name).copied()
-    }
-}
-
 /// Serves Gearman clients, workers and admin commands on one listener.
 #[derive(Clone)]
 pub struct GearmanFrontend {
     events: EventSender,
     settings: Arc<DeploymentSettings>,
-    functions: Arc<Functions>,
+    /// The configured functions, by name.
+    functions: Arc<BTreeMap<String, Function>>,
     workers: WorkerSessions,
     max_connections: usize,
     max_jobs: usize,
@@ -79,7 +66,7 @@
         GearmanFrontend {
             events,
             settings,
-            functions: Arc::new(Functions(config.functions)),
+            functions: Arc::new(config.functions),
             workers,
             max_connections: config.connections,
             max_jobs: config.jobs,
--- a/crates/net/src/frontend/gearman/workers/mod.rs
+++ b/crates/net/src/frontend/gearman/workers/mod.rs
@@ -3,19 +3,18 @@
 //! A session runs one job at a time. An attempt is first offered to the worker, and its job may
 //! have run only once the worker has grabbed it.
 
-mod kinds;
 mod session;
 
-pub use kinds::{MAX_CLASSES, SessionKinds};
+pub use pumiceway_core::MAX_CLASSES;
 
-use super::Functions;
 use super::codec::Packet;
 use super::outbox::Outbox;
 use crate::frontend::EventSender;
 use pumiceway_core::{
-    AttemptId, AttemptOutcome, AttemptUpdate, EndpointListUpdate, EndpointSource, Event, Job,
+    AttemptId, AttemptOutcome, AttemptUpdate, EndpointListUpdate, EndpointSource, Event,
+    FunctionCatalog, Job, JobFunction,
 };
-use pumiceway_decisions::api::{ClassId, EndpointState, LoadReport, Outcome, Timestamp};
+use pumiceway_decisions::api::{EndpointState, LoadReport, Outcome, Timestamp};
 use session::{OfferedJob, Session};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -28,11 +27,14 @@
 
 /// The sessions of all workers. Clones share them.
 #[derive(Clone)]
-pub struct WorkerSessions(Arc<Mutex<Inner>>);
+pub struct WorkerSessions {
+    catalog: Arc<FunctionCatalog>,
+    inner: Arc<Mutex<Inner>>,
+}
 
 struct Inner {
     events: EventSender,
-    kinds: SessionKinds,
+    catalog: Arc<FunctionCatalog>,
     /// Sessions have their whole capacity from the start, without slow start.
     skips_slow_start: bool,
     sessions: BTreeMap<u64, Session>,
@@ -43,18 +45,31 @@
 
 impl WorkerSessions {
     /// Creates an empty set of sessions. Their endpoints are reported to the core through `events`.
-    pub fn new(events: EventSender, kinds: SessionKinds, skips_slow_start: bool) -> WorkerSessions {
-        WorkerSessions(Arc::new(Mutex::new(Inner {
+    pub fn new(
+        events: EventSender,
+        catalog: Arc<FunctionCatalog>,
+        skips_slow_start: bool,
+    ) -> WorkerSessions {
+        let inner = Inner {
             events,
-            kinds,
+            catalog: catalog.clone(),
             skips_slow_start,
             sessions: BTreeMap::new(),
             endpoint_numbers: BTreeSet::new(),
-        })))
+        };
+        WorkerSessions {
+            catalog,
+            inner: Arc::new(Mutex::new(inner)),
+        }
+    }
+
+    /// The functions that workers can do.
+    pub fn catalog(&self) -> &Arc<FunctionCatalog> {
+        &self.catalog
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.0
+        self.inner
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
@@ -65,8 +80,7 @@
         session_id: u64,
         opened_at: Timestamp,
         outbox: &Outbox,
-        class: ClassId,
-        function: String,
+        function: JobFunction,
     ) {
         let mut inner = self.lock();
         if !inner.sessions.contains_key(&session_id) {
@@ -74,22 +88,27 @@
             let worker = Session::new(outbox.clone(), number, opened_at);
             inner.sessions.insert(session_id, worker);
         }
-        let previous = inner
-            .sessions
-            .get_mut(&session_id)
-            .and_then(|worker| worker.abilities.insert(class.0, function.clone()));
-        if previous.as_ref() != Some(&function) {
+        let worker = inner.sessions.get_mut(&session_id);
+        if worker.is_some_and(|worker| worker.abilities.insert(function)) {
             inner.update_endpoint(session_id, EndpointState::Ready);
         }
     }
 
-    /// `CANT_DO`: removes a function. `RESET_ABILITIES`, if `function` is `None`: removes them all.
-    pub fn cant_do(&self, session_id: u64, function: Option<&str>) {
+    /// `CANT_DO`: removes a function, if it is a known one.
+    pub fn cant_do(&self, session_id: u64, name: &str) {
+        let mut inner = self.lock();
+        let function = self.catalog.function(name);
+        if let (Some(worker), Some(function)) = (inner.sessions.get_mut(&session_id), function) {
+            worker.abilities.remove(function);
+        }
+        inner.update_endpoint(session_id, EndpointState::Ready);
+    }
+
+    /// `RESET_ABILITIES`: removes all functions.
+    pub fn reset_abilities(&self, session_id: u64) {
         let mut inner = self.lock();
         if let Some(worker) = inner.sessions.get_mut(&session_id) {
-            worker
-                .abilities
-                .retain(|_, name| function.is_some_and(|removed| removed != name));
+            worker.abilities.clear();
         }
         inner.update_endpoint(session_id, EndpointState::Ready);
     }
@@ -122,21 +141,20 @@
     pub fn grab_job(&self, session_id: u64, with_unique: bool) -> Packet {
         let mut inner = self.lock();
         inner.set_takes_unique_ids(session_id, with_unique);
-        let kinds = inner.kinds;
         let Some(worker) = inner.sessions.get_mut(&session_id) else {
             return Packet::NoJob;
         };
         worker.is_sleeping = false;
         let Some(OfferedJob {
             attempt,
-            class,
+            function,
             job,
         }) = worker.offered.take()
         else {
             return Packet::NoJob;
         };
-        let function = worker.abilities.get(&class.0).cloned();
-        let Some(function) = function.filter(|_| worker.may_run(class, &kinds)) else {
+        let may_run = self.catalog.may_run(&worker.abilities, function);
+        let Some(name) = self.catalog.name(function).filter(|_| may_run) else {
             inner.attempt_ended(attempt, AttemptOutcome::Rejected);
             return Packet::NoJob;
         };
@@ -145,7 +163,7 @@
         inner.attempt_updated(attempt, AttemptUpdate::Started);
         Packet::JobAssign {
             handle,
-            function,
+            function: name.to_owned(),
             unique_id: with_unique.then(|| job.repeat_id().to_owned()),
             workload: job.body.clone(),
         }
@@ -197,18 +215,17 @@
     }
 
     /// Offers an attempt to a worker, and wakes the worker if it sleeps.
-    pub fn start(&self, session_id: u64, attempt: AttemptId, class: ClassId, job: Arc<Job>) {
+    pub fn start(&self, session_id: u64, attempt: AttemptId, function: JobFunction, job: Arc<Job>) {
         let mut inner = self.lock();
-        let kinds = inner.kinds;
         let Some(worker) = inner.sessions.get_mut(&session_id) else {
             return inner.attempt_ended(attempt, AttemptOutcome::ConnectFailed);
         };
-        if worker.is_busy() || !worker.may_run(class, &kinds) {
+        if worker.is_busy() || !self.catalog.may_run(&worker.abilities, function) {
             return inner.attempt_ended(attempt, AttemptOutcome::Rejected);
         }
         worker.offered = Some(OfferedJob {
             attempt,
-            class,
+            function,
             job,
         });
         if std::mem::take(&mut worker.is_sleeping) {
@@ -276,20 +293,16 @@
         inner
             .sessions
             .iter()
-            .map(|(&session_id, worker)| worker.admin_line(session_id))
+            .map(|(&session_id, worker)| worker.admin_line(session_id, &self.catalog))
             .collect()
     }
 
     /// Counts the workers that can do a function, for the admin command `status`.
-    pub fn count_able(&self, functions: &Functions, name: &str) -> usize {
-        let Some(class) = functions.class(name) else {
-            return 0;
-        };
+    pub fn count_able(&self, function: JobFunction) -> usize {
         let inner = self.lock();
-        inner
-            .sessions
-            .values()
-            .filter(|worker| worker.can_do(class))
+        let workers = inner.sessions.values();
+        workers
+            .filter(|worker| worker.abilities.contains(function))
             .count()
     }
 }
@@ -309,10 +322,10 @@
         let Some(worker) = self.sessions.get_mut(&session_id) else {
             return;
         };
-        if worker.takes_unique_ids == takes_unique_ids {
+        if worker.abilities.takes_unique_ids == takes_unique_ids {
             return;
         }
-        worker.takes_unique_ids = takes_unique_ids;
+        worker.abilities.takes_unique_ids = takes_unique_ids;
         info!(
             frontend = "gearman",
             peer = worker.outbox.peer(),
@@ -328,7 +341,7 @@
         let Some(worker) = self.sessions.get(&session_id) else {
             return;
         };
-        let endpoint = worker.endpoint(session_id, state, &self.kinds, self.skips_slow_start);
+        let endpoint = worker.endpoint(session_id, state, &self.catalog, self.skips_slow_start);
         self.events.send(Event::EndpointListUpdated {
             source: EndpointSource::Gearman,
             // The lease on the list of sessions never expires, so the time of the update does not
--- a/crates/net/src/frontend/gearman/workers/session.rs
+++ b/crates/net/src/frontend/gearman/workers/session.rs
@@ -1,10 +1,12 @@
 //! The session of one worker.
 
-use super::SessionKinds;
 use crate::frontend::gearman::outbox::Outbox;
-use pumiceway_core::{AttemptId, Endpoint, EndpointAddress, Job};
-use pumiceway_decisions::api::{ClassId, EndpointState, Timestamp};
-use std::collections::{BTreeMap, HashMap};
+use pumiceway_core::{
+    Abilities, AttemptId, Endpoint, EndpointAddress, FunctionCatalog, Job, JobFunction,
+    WorkerListing,
+};
+use pumiceway_decisions::api::{EndpointState, FunctionSet, Timestamp};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 /// Relative size of a session: a worker runs one job at a time, while the machines of other
@@ -14,7 +16,7 @@
 /// An attempt that is offered to a worker, which has not grabbed it yet.
 pub(super) struct OfferedJob {
     pub attempt: AttemptId,
-    pub class: ClassId,
+    pub function: JobFunction,
     pub job: Arc<Job>,
 }
 
@@ -26,10 +28,8 @@
     pub opened_at: Timestamp,
     /// Id that the worker has set with `SET_CLIENT_ID`; `-` if it has set none.
     pub client_id: String,
-    /// Names of the functions that the worker can do, by the index of their class.
-    pub abilities: BTreeMap<usize, String>,
-    /// The worker asks for the unique ids of its jobs, by `GRAB_JOB_UNIQ`; supposed until it does not.
-    pub takes_unique_ids: bool,
+    /// What the worker can do. It asks for the unique ids of its jobs by `GRAB_JOB_UNIQ`.
+    pub abilities: Abilities,
     /// The worker has sent `PRE_SLEEP` and waits for a `NOOP` packet.
     pub is_sleeping: bool,
     pub offered: Option<OfferedJob>,
@@ -44,24 +44,13 @@
             endpoint_number,
             opened_at,
             client_id: "-".to_owned(),
-            abilities: BTreeMap::new(),
-            takes_unique_ids: true,
+            abilities: Abilities::default(),
             is_sleeping: false,
             offered: None,
             running: HashMap::new(),
         }
     }
 
-    pub fn can_do(&self, class: ClassId) -> bool {
-        self.abilities.contains_key(&class.0)
-    }
-
-    /// Whether the worker may be given jobs of a class that it can do. Those with idempotency keys are
-    /// only for workers that are told the key: others would run a repeat again.
-    pub fn may_run(&self, class: ClassId, kinds: &SessionKinds) -> bool {
-        self.can_do(class) && (self.takes_unique_ids || !kinds.is_keyed(class))
-    }
-
     pub fn is_busy(&self) -> bool {
         self.offered.is_some() || !self.running.is_empty()
     }
@@ -77,22 +66,26 @@
         &self,
         session_id: u64,
         state: EndpointState,
-        kinds: &SessionKinds,
+        catalog: &FunctionCatalog,
         skips_slow_start: bool,
     ) -> Endpoint {
-        let classes = self.abilities.keys().map(|&class| ClassId(class));
-        let kind = kinds.kind_of(classes.filter(|&class| self.may_run(class, kinds)));
+        let listing = catalog.listing(&self.abilities);
+        let state = match listing {
+            Some(_) => self.effective_state(state),
+            None => EndpointState::Gone,
+        };
+        let WorkerListing { kind, functions } = listing.unwrap_or_else(|| WorkerListing {
+            kind: catalog.kind_of_none(),
+            functions: FunctionSet::default(),
+        });
         Endpoint {
             name: format!("gearman:{:04}", self.endpoint_number),
             address: EndpointAddress::Session(session_id),
-            zone: kinds.zone(),
-            kind: kind.unwrap_or(kinds.placeholder()),
+            zone: catalog.worker_zone(),
+            kind,
+            functions,
             cell: None,
-            state: if kind.is_some() {
-                self.effective_state(state)
-            } else {
-                EndpointState::Gone
-            },
+            state,
             started_at: self.opened_at,
             relative_size: RELATIVE_SIZE,
             skips_slow_start,
@@ -112,11 +105,10 @@
     }
 
     /// The worker's line in the response to the admin command `workers`.
-    pub fn admin_line(&self, session_id: u64) -> String {
-        let functions: String = self
-            .abilities
-            .values()
-            .map(|function| format!(" {function}"))
+    pub fn admin_line(&self, session_id: u64, catalog: &FunctionCatalog) -> String {
+        let functions: String = catalog
+            .names_of(&self.abilities)
+            .map(|name| format!(" {name}"))
             .collect();
         let peer = self.outbox.peer();
         let client_id = &self.client_id;
--- a/crates/net/src/frontend/http/request.rs
+++ b/crates/net/src/frontend/http/request.rs
@@ -12,7 +12,7 @@
 use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
 use hyper::body::Body as _;
-use pumiceway_core::{ClientRequest, IdOrigin, Job};
+use pumiceway_core::{ClientRequest, IdOrigin, Job, JobFunction};
 use pumiceway_decisions::api::{ClassId, TenantId};
 use pumiceway_decisions::settings::{DeploymentSettings, RepeatSemantics};
 use pumiceway_memory::{AccountedBuffer, Holder, MemoryAccount, Revoked};
@@ -213,7 +213,7 @@
 
     fn with_body(self, body: Bytes) -> ClientRequest {
         ClientRequest {
-            class: self.class,
+            function: JobFunction::default_of(self.class),
             remaining: self.remaining,
             slots: self.labels.slots,
             memory: self.labels.memory,
--- a/crates/net/tests/http_connections/response_bytes.rs
+++ b/crates/net/tests/http_connections/response_bytes.rs
@@ -184,7 +184,7 @@
         assert_eq!(request.remaining, remaining);
         assert_eq!((request.slots, request.memory), (2.0, 0.5));
         assert_eq!(request.tenant.map(|tenant| tenant.0), Some(0));
-        assert_eq!(request.class.0, 0);
+        assert_eq!(request.function.class.0, 0);
         assert_eq!(request.job.id, "t1");
         assert_eq!(request.job.path, "/rate-push/k?q=1");
         assert_eq!(request.job.idempotency_key.as_deref(), Some("k"));
--- a/crates/net/tests/old_platform_document.rs
+++ b/crates/net/tests/old_platform_document.rs
@@ -4,8 +4,8 @@
 
 use pumiceway_core::{Endpoint, EndpointAddress};
 use pumiceway_decisions::api::{
-    Class, DeduplicationScope, EndpointState, Idempotency, KindId, LoadReportSource, Prices,
-    Settings, Tenant, Timestamp, ZoneId,
+    Class, DeduplicationScope, EndpointState, FunctionSet, Idempotency, KindId, LoadReportSource,
+    Prices, Settings, Tenant, Timestamp, ZoneId,
 };
 use pumiceway_net::config::{Config, Reload, SocketBudget};
 use pumiceway_net::discovery::{ListMessage, ListedEndpoint, ListedState};
@@ -72,6 +72,7 @@
         zone_count: 2,
         home_zone: Some(ZoneId(1)),
         kind_count: 2,
+        functions: vec![],
         classes: expected_classes(),
         tenants: vec![tenant(30.5), tenant(20.0)],
         over_quota_weight: 0.2,
@@ -196,6 +197,7 @@
         address: EndpointAddress::Network(address.to_owned()),
         zone: ZoneId(zone),
         kind: KindId(kind),
+        functions: FunctionSet::default(),
         cell: Some(cell),
         state,
         started_at: Timestamp::from_micros(started_at_us),
--- a/crates/net/tests/resource_limits.rs
+++ b/crates/net/tests/resource_limits.rs
@@ -65,3 +65,26 @@
         assert!((max_outbound / 2..=max_outbound).contains(&budget.outbound));
     }
 }
+
+// The orders of functions are no holder of the budget, so their memory is taken from it at the start.
+#[test]
+fn functions_beside_the_default_ones_take_their_memory_from_the_budget() {
+    let shared = config(192, 1_024).memory.shared;
+    for (functions, workers, is_accepted) in [
+        (0, 64, true),
+        (200, 1_000, true),
+        (10_000, 64, true),
+        (10_000, 1_000, false),
+        (usize::MAX, 2, false),
+    ] {
+        let mut memory = config(192, 1_024).memory;
+        let result = memory.reserve_functions(functions, workers);
+        assert_eq!(result.is_ok(), is_accepted, "{functions} * {workers}");
+        if let Err(error) = result {
+            assert_eq!(memory.shared, shared);
+            assert!(error.to_string().starts_with("functions: "), "{error}");
+        } else {
+            assert!(memory.shared <= shared - 8 * functions * workers);
+        }
+    }
+}
--- a/crates/site/src/template.rs
+++ b/crates/site/src/template.rs
@@ -137,7 +137,8 @@
 }
 
 const OPTIONAL_SECTIONS: &str = r#"
-# Gearman functions that stand for a class under another name. Without any, each class is a function of its own name.
+# Gearman functions that stand for a class under another name. Without any, each class is a function of its own name. Several
+# may stand for one class; HTTP requests are then jobs of the function with the name of the class.
 # [functions.push-rates]
 # class = "rate-push"
 # slots = 1
--- a/crates/site/tests/old_site_file.rs
+++ b/crates/site/tests/old_site_file.rs
@@ -39,6 +39,7 @@
         zone_count: 1,
         home_zone: Some(ZoneId(0)),
         kind_count: 1,
+        functions: vec![],
         classes: vec![
             class(Idempotency::NonIdempotent, 3.0, 1_500, 20),
             class(Idempotency::Idempotent, 2.0, 500, 10),
--- a/crates/test-support/benches/decision.rs
+++ b/crates/test-support/benches/decision.rs
@@ -122,6 +122,7 @@
         name,
         zone: ZoneId(index % ZONES),
         kind: KindId(0),
+        functions: FunctionSet::empty(),
         cell: None,
         state: EndpointState::Ready,
         started_at: Timestamp::ORIGIN,
@@ -135,6 +136,7 @@
     IncomingRequest {
         request: RequestId(number),
         class: ClassId(0),
+        function: None,
         remaining: 3_000 * MILLISECOND,
         slots: 1.0,
         memory: 0.0,
--- a/crates/test-support/src/fleet/clients.rs
+++ b/crates/test-support/src/fleet/clients.rs
@@ -11,7 +11,7 @@
 use super::summary::WeightTotals;
 use super::workload::Requirements;
 use bytes::Bytes;
-use pumiceway_core::{ClientRequest, Event, IdOrigin, Job, RequestHandle};
+use pumiceway_core::{ClientRequest, Event, IdOrigin, Job, JobFunction, RequestHandle};
 use pumiceway_decisions::api::{ClassId, Tenant, TenantId, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
@@ -178,7 +178,7 @@
         self.jobs.entry(id).or_default().requirements = requirements;
         self.schedule(deadline, SimulationEvent::DeadlinePasses(handle));
         let client_request = ClientRequest {
-            class: ClassId(requirements.class),
+            function: JobFunction::default_of(ClassId(requirements.class)),
             remaining: deadline,
             slots: requirements.slots,
             memory: requirements.memory,
--- a/crates/test-support/src/fleet/endpoint_list.rs
+++ b/crates/test-support/src/fleet/endpoint_list.rs
@@ -6,7 +6,7 @@
 use super::plan::{Deployment, Disruption, InjectedFault};
 use super::simulation::Simulation;
 use pumiceway_core::{Endpoint, EndpointAddress, EndpointListUpdate, EndpointSource, Event};
-use pumiceway_decisions::api::{EndpointState, Timestamp, ZoneId};
+use pumiceway_decisions::api::{EndpointState, FunctionSet, Timestamp, ZoneId};
 use std::time::Duration;
 
 /// A pushed change reaches the agent beside an instance after a delay between these two.
@@ -70,6 +70,7 @@
             address: EndpointAddress::Network(endpoint.to_string()),
             zone: ZoneId(simulated.zone),
             kind: simulated.kind,
+            functions: FunctionSet::default(),
             cell: None,
             state: self.state_at(endpoint, version),
             started_at: self.started_at(endpoint, version),
--- a/crates/test-support/src/fleet/settings.rs
+++ b/crates/test-support/src/fleet/settings.rs
@@ -60,6 +60,7 @@
         zone_count,
         home_zone: Some(ZoneId(instance % zone_count)),
         kind_count: 1,
+        functions: vec![],
         classes: vec![
             class(Idempotency::Idempotent, 1.0, 500, 3_000),
             class(Idempotency::NonIdempotent, 3.0, 1_500, 3_000),
--- a/crates/test-support/src/scenario.rs
+++ b/crates/test-support/src/scenario.rs
@@ -89,11 +89,29 @@
         endpoints: &[&str],
         zookeeper: Option<ZooKeeperConfig>,
         settings: &str,
+    ) -> ScenarioRunner {
+        ScenarioRunner::start(endpoints, zookeeper, settings, &[])
+    }
+
+    /// Starts a dispatcher with these functions, each with its class, instead of one for each class.
+    pub fn with_functions(
+        endpoints: &[&str],
+        settings: &str,
+        functions: &[(&str, &str)],
+    ) -> ScenarioRunner {
+        ScenarioRunner::start(endpoints, None, settings, functions)
+    }
+
+    fn start(
+        endpoints: &[&str],
+        zookeeper: Option<ZooKeeperConfig>,
+        settings: &str,
+        functions: &[(&str, &str)],
     ) -> ScenarioRunner {
         let listeners = bind_listeners(endpoints);
         let text = config_text(endpoints, &listeners, settings);
         let mut config = Config::from_text(&text, "config", |_| None).unwrap();
-        config.gearman = Some(gearman_config(&config));
+        config.gearman = Some(gearman_config(&config, functions));
         config.zookeeper = zookeeper;
         let dispatcher = run_dispatcher(config);
         ScenarioRunner {
@@ -255,14 +273,19 @@
     )
 }
 
-/// The configuration of a Gearman frontend, which has a separate file.
-fn gearman_config(config: &Config) -> GearmanConfig {
+/// The configuration of a Gearman frontend, which has a separate file, with these functions and the
+/// classes that they stand for.
+fn gearman_config(config: &Config, functions: &[(&str, &str)]) -> GearmanConfig {
     let file = std::env::temp_dir().join(format!(
         "pumiceway-{}-{:?}.toml",
         std::process::id(),
         std::thread::current().id()
     ));
-    std::fs::write(&file, "listen = \"127.0.0.1:0\"\n").unwrap();
+    let tables = functions
+        .iter()
+        .map(|(name, class)| format!("[functions.{name}]\nclass = \"{class}\"\n"));
+    let text = "listen = \"127.0.0.1:0\"\n".to_owned() + &tables.collect::<String>();
+    std::fs::write(&file, text).unwrap();
     let gearman =
         GearmanConfig::from_file(&file, &config.deployment, config.socket_budget.inbound).unwrap();
     std::fs::remove_file(&file).unwrap();
