Gearman: a worker that connects again is not taken for the one that was lost with a job

What callers saw: the worker of a job that may be repeated dropped its connection and connected again; the job was not given to it, waited until its latest start and failed.

Cause: the endpoint of a session is named by the lowest number that no open session has. The new session had the name, so the id, of the lost one, and a job that may have run at an endpoint is not repeated there.

The decisions are untouched.

--- a/crates/net/src/event_loop/effects.rs
+++ b/crates/net/src/event_loop/effects.rs
@@ -2,6 +2,7 @@
 
 use super::watch::WatchTask;
 use super::{EventLoop, PendingClient, RunningAttempt};
+use crate::frontend::gearman::workers::OfferedJob;
 use crate::frontend::{EventSender, FrontendState};
 use crate::upstream::{AttemptObserver, AttemptOptions};
 use pumiceway_core::{
@@ -85,7 +86,13 @@
                         self.start_attempt(attempt, endpoint, &address, &job, options);
                     }
                     (EndpointAddress::Session(session), Some(workers)) => {
-                        workers.start(session, attempt, function, job);
+                        let offered = OfferedJob {
+                            attempt,
+                            function,
+                            job,
+                            ends_by: std::time::Instant::now() + remaining,
+                        };
+                        workers.start(session, offered);
                     }
                     (EndpointAddress::Session(_), None) => self.report_connect_failure(attempt),
                 }
--- a/crates/net/src/frontend/gearman/workers/mod.rs
+++ b/crates/net/src/frontend/gearman/workers/mod.rs
@@ -3,6 +3,7 @@
 //! A session runs one job at a time. An attempt is first offered to the worker, and its job may
 //! have run only once the worker has grabbed it.
 
+mod endpoint_numbers;
 mod session;
 
 pub use pumiceway_core::MAX_CLASSES;
@@ -10,15 +11,17 @@
 use super::codec::Packet;
 use super::outbox::Outbox;
 use crate::frontend::EventSender;
+use endpoint_numbers::EndpointNumbers;
 use pumiceway_core::{
     AttemptId, AttemptOutcome, AttemptUpdate, EndpointListUpdate, EndpointSource, Event,
-    FunctionCatalog, Job, JobFunction,
+    FunctionCatalog, JobFunction,
 };
 use pumiceway_decisions::api::{EndpointState, LoadReport, Outcome, Timestamp};
-use session::{OfferedJob, Session};
-use std::collections::{BTreeMap, BTreeSet};
+pub use session::OfferedJob;
+use session::Session;
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::info;
 
 /// Time limit for a worker to grab an offered job; after that the attempt ends as if the connection
@@ -38,9 +41,7 @@
     /// Sessions have their whole capacity from the start, without slow start.
     skips_slow_start: bool,
     sessions: BTreeMap<u64, Session>,
-    /// Numbers of open sessions in the names of their endpoints. The numbers of closed sessions are
-    /// reused; otherwise each worker that reconnects would leave an endpoint behind.
-    endpoint_numbers: BTreeSet<u64>,
+    endpoint_numbers: EndpointNumbers,
 }
 
 impl WorkerSessions {
@@ -55,7 +56,7 @@
             catalog: catalog.clone(),
             skips_slow_start,
             sessions: BTreeMap::new(),
-            endpoint_numbers: BTreeSet::new(),
+            endpoint_numbers: EndpointNumbers::default(),
         };
         WorkerSessions {
             catalog,
@@ -84,7 +85,7 @@
     ) {
         let mut inner = self.lock();
         if !inner.sessions.contains_key(&session_id) {
-            let number = inner.allocate_endpoint_number();
+            let number = inner.endpoint_numbers.allocate(Instant::now());
             let worker = Session::new(outbox.clone(), number, opened_at);
             inner.sessions.insert(session_id, worker);
         }
@@ -149,6 +150,7 @@
             attempt,
             function,
             job,
+            ends_by,
         }) = worker.offered.take()
         else {
             return Packet::NoJob;
@@ -160,6 +162,7 @@
         };
         let handle = format!("H:pumiceway:b{}", attempt.0);
         worker.running.insert(handle.clone(), Some(attempt));
+        worker.job_ends_by = ends_by;
         inner.attempt_updated(attempt, AttemptUpdate::Started);
         Packet::JobAssign {
             handle,
@@ -204,7 +207,10 @@
         let Some(worker) = inner.sessions.remove(&session_id) else {
             return;
         };
-        inner.endpoint_numbers.remove(&worker.endpoint_number);
+        let reserved_until = (!worker.running.is_empty()).then_some(worker.job_ends_by);
+        inner
+            .endpoint_numbers
+            .release(worker.endpoint_number, reserved_until);
         if let Some(offered) = worker.offered {
             inner.attempt_ended(offered.attempt, AttemptOutcome::ConnectFailed);
         }
@@ -215,19 +221,16 @@
     }
 
     /// Offers an attempt to a worker, and wakes the worker if it sleeps.
-    pub fn start(&self, session_id: u64, attempt: AttemptId, function: JobFunction, job: Arc<Job>) {
+    pub fn start(&self, session_id: u64, offered: OfferedJob) {
+        let attempt = offered.attempt;
         let mut inner = self.lock();
         let Some(worker) = inner.sessions.get_mut(&session_id) else {
             return inner.attempt_ended(attempt, AttemptOutcome::ConnectFailed);
         };
-        if worker.is_busy() || !self.catalog.may_run(&worker.abilities, function) {
+        if worker.is_busy() || !self.catalog.may_run(&worker.abilities, offered.function) {
             return inner.attempt_ended(attempt, AttemptOutcome::Rejected);
         }
-        worker.offered = Some(OfferedJob {
-            attempt,
-            function,
-            job,
-        });
+        worker.offered = Some(offered);
         if std::mem::take(&mut worker.is_sleeping) {
             worker.outbox.send(Packet::Noop);
         }
@@ -308,15 +311,6 @@
 }
 
 impl Inner {
-    /// Reserves the lowest number that no open session has.
-    fn allocate_endpoint_number(&mut self) -> u64 {
-        let number = (0..)
-            .find(|number| !self.endpoint_numbers.contains(number))
-            .unwrap_or_default();
-        self.endpoint_numbers.insert(number);
-        number
-    }
-
     /// Records whether the worker asks for unique ids, on which depends what it may run.
     fn set_takes_unique_ids(&mut self, session_id: u64, takes_unique_ids: bool) {
         let Some(worker) = self.sessions.get_mut(&session_id) else {
--- a/crates/net/src/frontend/gearman/workers/session.rs
+++ b/crates/net/src/frontend/gearman/workers/session.rs
@@ -8,16 +8,22 @@
 use pumiceway_decisions::api::{EndpointState, FunctionSet, Timestamp};
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// Relative size of a session: a worker runs one job at a time, while the machines of other
 /// endpoints have several cores.
 const RELATIVE_SIZE: f64 = 0.25;
 
 /// An attempt that is offered to a worker, which has not grabbed it yet.
-pub(super) struct OfferedJob {
+pub struct OfferedJob {
+    /// The attempt.
     pub attempt: AttemptId,
+    /// The function of the job.
     pub function: JobFunction,
+    /// The job.
     pub job: Arc<Job>,
+    /// When nobody needs its result any more.
+    pub ends_by: Instant,
 }
 
 /// The state of a worker session.
@@ -35,6 +41,8 @@
     pub offered: Option<OfferedJob>,
     /// The attempts whose jobs the worker runs, by job handle; `None` once the attempt is aborted.
     pub running: HashMap<String, Option<AttemptId>>,
+    /// When nobody needs the result of the last of them any more.
+    pub job_ends_by: Instant,
 }
 
 impl Session {
@@ -48,6 +56,7 @@
             is_sleeping: false,
             offered: None,
             running: HashMap::new(),
+            job_ends_by: Instant::now(),
         }
     }
 
--- a/crates/net/tests/functions.rs
+++ b/crates/net/tests/functions.rs
@@ -369,3 +369,36 @@
     peer.send(&format!("raw {command}\\n"));
     peer.read_until(".\n")
 }
+
+// Guards against a job that waits in vain: a worker that connected after another one was lost with the
+// job was taken for that one, at which the job may have run.
+#[test]
+fn a_job_whose_worker_was_lost_is_repeated_at_one_that_connects_after() {
+    for (functions, name) in [
+        (WITHOUT_DEFAULT, "push-rates"),
+        (WITH_DEFAULT, "rate-push"),
+        (&[], "rate-push"),
+    ] {
+        let lost = worker("gl", &[name]);
+        let next = worker("gn", &[name]);
+        run(
+            &[],
+            functions,
+            &format!(
+                "{lost}
+                 g send [SUBMIT_JOB {name}|u1|rates]
+                 g expect [JOB_CREATED *]
+                 gl expect [NOOP]
+                 gl send [GRAB_JOB_UNIQ]
+                 gl expect [JOB_ASSIGN_UNIQ *|{name}|u1|rates]
+                 gl close
+                 {next}
+                 gn expect [NOOP]
+                 gn send [GRAB_JOB_UNIQ]
+                 gn expect [JOB_ASSIGN_UNIQ $b|{name}|u1|rates]
+                 gn send [WORK_COMPLETE $b|pushed]
+                 g expect [WORK_COMPLETE *|pushed]"
+            ),
+        );
+    }
+}
