Faults: draw several functions of one class

Change: the dispatchers of the soak have seven functions of three classes. Workers can do some of them, of every conduct; clients submit jobs of all functions of a class under one unique id at once. The name of a job tells its function, and its result is its name: the judge sees a job that ran as another function, a client that is told another function's result, and a second run by function. The random numbers of these faults are their own, so that the other faults of a seed stay what they were.

--- a/crates/pumiceway/tests/faults.rs
+++ b/crates/pumiceway/tests/faults.rs
@@ -9,7 +9,10 @@
 use pumiceway_test_support::processes::discovery::WatchLoss;
 use pumiceway_test_support::processes::endpoints::Behavior;
 use pumiceway_test_support::processes::faults::{Fault, RunOutline, Schedule};
-use pumiceway_test_support::processes::gearman_peers::{ClientConduct, WorkerConduct};
+use pumiceway_test_support::processes::functions::WORKER_FUNCTIONS;
+use pumiceway_test_support::processes::gearman_peers::{
+    ClientConduct, WorkerConduct, WorkerOptions,
+};
 use pumiceway_test_support::processes::identities::Stranger;
 use pumiceway_test_support::processes::jobs::Cost;
 use pumiceway_test_support::processes::lengthy::LengthyResponse;
@@ -288,8 +291,11 @@
     for (dispatcher, &conduct) in dispatchers.clone().zip(WorkerConduct::ALL) {
         faults.push(Fault::GearmanWorkers {
             dispatcher,
-            conduct,
-            takes_unique_ids: conduct != WorkerConduct::Fails,
+            options: WorkerOptions {
+                conduct,
+                takes_unique_ids: conduct != WorkerConduct::Fails,
+                functions: None,
+            },
             count: 2,
             duration,
         });
@@ -326,6 +332,40 @@
     check_in_parallel([16, 213], |seed| run_released(seed, &shared_identities()));
 }
 
+/// Workers of some functions of each class, of every conduct, and clients of all functions.
+fn functions_of_one_class() -> Schedule {
+    let duration = Duration::from_secs(8);
+    let workers = WORKER_FUNCTIONS.iter().flat_map(move |functions| {
+        (0..SHORT.dispatchers).map(move |dispatcher| Fault::GearmanWorkers {
+            dispatcher,
+            options: WorkerOptions {
+                conduct: WorkerConduct::ALL[dispatcher % WorkerConduct::ALL.len()],
+                takes_unique_ids: dispatcher % 2 == 0,
+                functions: Some(functions),
+            },
+            count: 1,
+            duration,
+        })
+    });
+    let clients = (0..SHORT.dispatchers).map(|dispatcher| Fault::FunctionClients {
+        dispatcher,
+        count: 2,
+        duration,
+    });
+    let begins_at = Duration::from_secs(2);
+    let faults = workers.chain(clients);
+    faults.map(|fault| (begins_at, fault)).collect()
+}
+
+// Regression test for issue 62: a job ran as another function of its class, and its client was told the
+// result of that function.
+#[test]
+fn the_invariants_hold_when_functions_share_a_class() {
+    check_in_parallel([16, 213], |seed| {
+        run_released(seed, &functions_of_one_class())
+    });
+}
+
 /// Dispatchers whose memory unfinished responses use up, with Gearman clients that read large results.
 fn memory_is_short() -> Schedule {
     let duration = Duration::from_secs(9);
--- a/crates/test-support/src/processes/dispatcher.rs
+++ b/crates/test-support/src/processes/dispatcher.rs
@@ -1,6 +1,7 @@
 //! A dispatcher, whose processes are started, configured, signalled, killed and restarted.
 
 use super::discovery::{DiscoveryLink, OldAddress};
+use super::functions;
 use super::memory::{MemoryRecord, MemoryWatch};
 use super::program::{field, is_ready, serve};
 use super::service::DiscoveryService;
@@ -167,8 +168,11 @@
         );
         std::fs::write(&self.config, text).unwrap();
         // The connections are as many as the lowest socket limit permits.
-        let text = "listen = \"127.0.0.1:0\"\nconnections = 20\njobs = 64\n";
-        std::fs::write(&self.gearman_config, text).unwrap();
+        let text = "listen = \"127.0.0.1:0\"\nconnections = 20\njobs = 64\n".to_owned();
+        let functions = functions::FUNCTIONS
+            .iter()
+            .map(|(name, class)| format!("[functions.{name}]\nclass = \"{class}\"\n"));
+        std::fs::write(&self.gearman_config, text + &functions.collect::<String>()).unwrap();
     }
 
     /// The address at which clients connect to its current process.
--- a/crates/test-support/src/processes/faults/identity_faults.rs
+++ b/crates/test-support/src/processes/faults/identity_faults.rs
@@ -6,7 +6,7 @@
 use super::{Fault, Schedule};
 use crate::processes::crowds::Conduct;
 use crate::processes::endpoints::Behavior;
-use crate::processes::gearman_peers::{ClientConduct, WorkerConduct};
+use crate::processes::gearman_peers::{ClientConduct, WorkerConduct, WorkerOptions};
 use crate::processes::identities::Stranger;
 use crate::processes::jobs::Cost;
 use crate::processes::lengthy::LengthyResponse;
@@ -63,8 +63,11 @@
 fn draw_gearman_faults(rng: &mut Rng, dispatcher: usize) -> [Fault; 4] {
     let workers = |rng: &mut Rng| Fault::GearmanWorkers {
         dispatcher,
-        conduct: *rng.choice(WorkerConduct::ALL).unwrap(),
-        takes_unique_ids: rng.u32(..4) > 0,
+        options: WorkerOptions {
+            conduct: *rng.choice(WorkerConduct::ALL).unwrap(),
+            takes_unique_ids: rng.u32(..4) > 0,
+            functions: None,
+        },
         count: rng.usize(1..4),
         duration: millis(rng, 3_000, 9_000),
     };
--- a/crates/test-support/src/processes/faults/injection.rs
+++ b/crates/test-support/src/processes/faults/injection.rs
@@ -5,6 +5,7 @@
 use crate::processes::crowds::{self, Conduct};
 use crate::processes::dispatcher::{Dispatcher, SocketExhaustion};
 use crate::processes::endpoints::{Behavior, ListedStatus};
+use crate::processes::functions;
 use crate::processes::gearman_peers::{run_client, run_worker};
 use crate::processes::identities::{repeat_request, send_keyed, send_strangers};
 use crate::processes::returning::{come_again, leave, request_ids};
@@ -163,14 +164,23 @@
         }
         Fault::GearmanWorkers {
             dispatcher,
-            conduct,
-            takes_unique_ids,
+            options,
+            count,
+            duration,
+        } => {
+            let dispatcher = &fleet.dispatchers[dispatcher];
+            in_parallel(count, duration, |until| {
+                run_worker(fleet, dispatcher, options, until);
+            });
+        }
+        Fault::FunctionClients {
+            dispatcher,
             count,
             duration,
         } => {
             let dispatcher = &fleet.dispatchers[dispatcher];
             in_parallel(count, duration, |until| {
-                run_worker(fleet, dispatcher, conduct, takes_unique_ids, until);
+                functions::run_client(fleet, dispatcher, until);
             });
         }
         Fault::GearmanClients {
--- a/crates/test-support/src/processes/faults/mod.rs
+++ b/crates/test-support/src/processes/faults/mod.rs
@@ -1,6 +1,7 @@
 //! Random, overlapping faults: a schedule that is drawn from a seed, and the injection of each
 //! fault.
 
+mod function_faults;
 mod identity_faults;
 mod injection;
 mod schedule;
@@ -11,7 +12,7 @@
 use super::crowds::Conduct;
 use super::discovery::{CallFault, OldAddress, WatchLoss};
 use super::endpoints::Behavior;
-use super::gearman_peers::{ClientConduct, WorkerConduct};
+use super::gearman_peers::{ClientConduct, WorkerOptions};
 use super::identities::Stranger;
 use super::jobs::Cost;
 use super::service::Failure;
@@ -112,8 +113,7 @@
     /// Gearman workers connect to a dispatcher.
     GearmanWorkers {
         dispatcher: usize,
-        conduct: WorkerConduct,
-        takes_unique_ids: bool,
+        options: WorkerOptions,
         count: usize,
         duration: Duration,
     },
@@ -125,6 +125,12 @@
         count: usize,
         duration: Duration,
     },
+    /// Gearman clients submit jobs of several functions of one class under one unique id.
+    FunctionClients {
+        dispatcher: usize,
+        count: usize,
+        duration: Duration,
+    },
     /// A dispatcher is suspended and resumed in turn, so that it runs for a quarter of the time.
     Throttle {
         dispatcher: usize,
--- a/crates/test-support/src/processes/faults/schedule.rs
+++ b/crates/test-support/src/processes/faults/schedule.rs
@@ -1,6 +1,6 @@
 //! Draws a schedule of faults from a seed.
 
-use super::{Fault, Schedule, identity_faults};
+use super::{Fault, Schedule, function_faults, identity_faults};
 use crate::processes::crowds::Conduct;
 use crate::processes::discovery::{CallFault, OldAddress, WatchLoss};
 use crate::processes::endpoints::Behavior;
@@ -221,6 +221,7 @@
         ));
     }
     schedule.extend(identity_faults::draw(seed, run));
+    schedule.extend(function_faults::draw(seed, run));
     schedule.sort_by_key(|(begins_at, _)| *begins_at);
     schedule
 }
--- a/crates/test-support/src/processes/gearman_peers.rs
+++ b/crates/test-support/src/processes/gearman_peers.rs
@@ -3,14 +3,15 @@
 
 use super::clients::{Connection, Pace, RequestEnd, SentRequest};
 use super::endpoints::{Arrival, GEARMAN_WORKER};
+use super::functions::class_of;
 use super::identities::KEYED_CLASS;
 use super::jobs::{self, Cost};
 use super::{Dispatcher, TestFleet};
 use crate::Peer;
 use std::time::{Duration, Instant};
 
-/// The classes, which are also the functions.
-const FUNCTIONS: [&str; 3] = ["rate-push", "booking-import", KEYED_CLASS];
+/// The functions that stand for whole classes.
+const DEFAULT_FUNCTIONS: [&str; 3] = ["rate-push", "booking-import", KEYED_CLASS];
 /// The pause of a peer before it connects again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// How long a client that leaves stays, and the longest time that it is away.
@@ -67,12 +68,22 @@
     ];
 }
 
-/// Runs a worker until this time. It asks for unique ids or not.
+/// What a worker does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkerOptions {
+    /// What it does with a job.
+    pub conduct: WorkerConduct,
+    /// It asks for unique ids.
+    pub takes_unique_ids: bool,
+    /// The functions that it can do; `None` for those that stand for whole classes.
+    pub functions: Option<&'static [&'static str]>,
+}
+
+/// Runs a worker until this time.
 pub(super) fn run_worker(
     fleet: &TestFleet,
     dispatcher: &Dispatcher,
-    conduct: WorkerConduct,
-    takes_unique_ids: bool,
+    options: WorkerOptions,
     until: Instant,
 ) {
     while Instant::now() < until {
@@ -80,8 +91,7 @@
             let mut worker = Worker {
                 fleet,
                 peer,
-                conduct,
-                takes_unique_ids,
+                options,
                 until,
             };
             // Ends with its session.
@@ -94,17 +104,16 @@
 struct Worker<'a> {
     fleet: &'a TestFleet,
     peer: Peer,
-    conduct: WorkerConduct,
-    takes_unique_ids: bool,
+    options: WorkerOptions,
     until: Instant,
 }
 
 impl Worker<'_> {
     fn run(&mut self) -> Result<(), String> {
-        for function in FUNCTIONS {
+        for function in self.options.functions.unwrap_or(&DEFAULT_FUNCTIONS) {
             self.peer.send(&format!("[CAN_DO {function}]"));
         }
-        let grab = if self.takes_unique_ids {
+        let grab = if self.options.takes_unique_ids {
             "[GRAB_JOB_UNIQ]"
         } else {
             "[GRAB_JOB]"
@@ -128,19 +137,19 @@
     /// Runs a job. Returns whether the session goes on.
     fn run_job(&mut self, arguments: &[String]) -> bool {
         let (handle, function) = (&arguments[0], &arguments[1]);
-        let unique_id = self.takes_unique_ids.then(|| arguments[2].clone());
+        let unique_id = self.options.takes_unique_ids.then(|| arguments[2].clone());
         let body = arguments.last().unwrap();
         self.fleet.endpoints.record(Arrival {
             at: Instant::now(),
             endpoint: GEARMAN_WORKER,
             id: unique_id.clone().unwrap_or_default(),
             class: function.clone(),
-            key: unique_id.filter(|_| function == KEYED_CLASS),
+            key: unique_id.filter(|_| class_of(function) == KEYED_CLASS),
             job: jobs::name(body).to_owned(),
             remaining: None,
         });
         let result = jobs::run(body);
-        match self.conduct {
+        match self.options.conduct {
             WorkerConduct::Completes => self.peer.send(&format!("[WORK_COMPLETE {handle}|{result}]")),
             WorkerConduct::SendsParts => self.peer.send(&format!(
                 "[WORK_STATUS {handle}|1|2] && [WORK_DATA {handle}|{result}] && [WORK_WARNING {handle}|w] && [WORK_COMPLETE {handle}|{result}]"
@@ -169,7 +178,7 @@
     let mut number = 0;
     while Instant::now() < until {
         number += 1;
-        let function = FUNCTIONS[number % FUNCTIONS.len()];
+        let function = DEFAULT_FUNCTIONS[number % DEFAULT_FUNCTIONS.len()];
         let name = fleet.unique_name("gearman");
         let body = jobs::body(&name, cost);
         match conduct {
@@ -233,32 +242,67 @@
     unique_id: &str,
     body: &str,
 ) {
-    let Some(mut peer) = dispatcher.connect_gearman() else {
-        std::thread::sleep(RECONNECT_PAUSE);
-        return;
-    };
+    match submit(dispatcher, function, unique_id, body) {
+        Some(submitted) => fleet.record_sent(submitted.wait(fleet, class_of(function)).0),
+        None => std::thread::sleep(RECONNECT_PAUSE),
+    }
+}
+
+/// A job whose client waits for its end.
+pub(super) struct Submitted {
+    dispatcher: usize,
+    job: String,
+    at: Instant,
+    peer: Peer,
+}
+
+/// Submits a job on a new connection.
+pub(super) fn submit(
+    dispatcher: &Dispatcher,
+    function: &str,
+    unique_id: &str,
+    body: &str,
+) -> Option<Submitted> {
+    let mut peer = dispatcher.connect_gearman()?;
     let at = Instant::now();
     peer.send(&format!("[SUBMIT_JOB {function}|{unique_id}|{body}]"));
-    let end = loop {
-        match peer.read_packet() {
-            Err(_) => break RequestEnd::NoResponse,
-            Ok((name, _)) if ["WORK_COMPLETE", "WORK_FAIL", "ERROR"].contains(&name.as_str()) => {
-                break RequestEnd::Response(name);
-            }
-            Ok(_) => {}
-        }
-    };
-    fleet.record_sent(SentRequest {
+    Some(Submitted {
         dispatcher: dispatcher.number,
-        id: format!("gearman {}", jobs::name(body)),
-        // Its runs are counted by its name.
-        is_non_idempotent: false,
-        connection: Connection::New,
-        pace: Pace::AtOnce,
-        begun_at: at,
+        job: jobs::name(body).to_owned(),
         at,
-        remaining: fleet.conditions.deadline(function),
-        ended_at: Instant::now(),
-        end,
-    });
+        peer,
+    })
+}
+
+impl Submitted {
+    /// Waits for the end of the job, which is of this class. Returns it, with the result or an empty text.
+    pub(super) fn wait(mut self, fleet: &TestFleet, class: &str) -> (SentRequest, String) {
+        let mut result = String::new();
+        let end = loop {
+            match self.peer.read_packet() {
+                Err(_) => break RequestEnd::NoResponse,
+                Ok((name, arguments))
+                    if ["WORK_COMPLETE", "WORK_FAIL", "ERROR"].contains(&name.as_str()) =>
+                {
+                    result = arguments.last().cloned().unwrap_or_default();
+                    break RequestEnd::Response(name);
+                }
+                Ok(_) => {}
+            }
+        };
+        let request = SentRequest {
+            dispatcher: self.dispatcher,
+            id: format!("gearman {}", self.job),
+            // Its runs are counted by its name.
+            is_non_idempotent: false,
+            connection: Connection::New,
+            pace: Pace::AtOnce,
+            begun_at: self.at,
+            at: self.at,
+            remaining: fleet.conditions.deadline(class),
+            ended_at: Instant::now(),
+            end,
+        };
+        (request, result)
+    }
 }
--- a/crates/test-support/src/processes/identity_checks.rs
+++ b/crates/test-support/src/processes/identity_checks.rs
@@ -1,9 +1,9 @@
 //! Checks the runs of jobs by their names against the invariants, whatever ids and keys they came
 //! under.
 
-use super::TestFleet;
 use super::endpoints::Arrival;
 use super::identities::{KEYED_CLASS, RepeatedRequest};
+use super::{TestFleet, functions};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
@@ -30,8 +30,12 @@
             continue;
         };
         violations.extend(first_told_another_key(runs));
+        let wrong = runs
+            .iter()
+            .find_map(|run| Some((run.at, functions::check_arrival(run)?)));
+        violations.extend(wrong);
         let is_late = |run: &Arrival| run.at > first.at + DEDUPLICATION_WINDOW + slack;
-        let must_not_run = |run: &&&Arrival| match run.class.as_str() {
+        let must_not_run = |run: &&&Arrival| match functions::class_of(&run.class) {
             "booking-import" => true,
             KEYED_CLASS => is_late(run),
             _ => false,
@@ -51,8 +55,13 @@
 
 /// Endpoints are told the key that the client sent, and no other, with each attempt.
 fn first_told_another_key(runs: &[&Arrival]) -> Option<Violation> {
-    let mut keyed = runs.iter().filter(|run| run.class == KEYED_CLASS);
-    let run = keyed.find(|run| run.key.as_deref() != Some(&run.job))?;
+    let is_keyed = |run: &&&Arrival| functions::class_of(&run.class) == KEYED_CLASS;
+    let mut keyed = runs.iter().filter(is_keyed);
+    let sent_key = |run: &Arrival| {
+        let of_function = functions::parse_name(&run.job);
+        of_function.map_or(run.job.clone(), |(_, unique_id)| unique_id.to_owned())
+    };
+    let run = keyed.find(|run| run.key != Some(sent_key(run)))?;
     let description = format!("duplicate: {} came under the key {:?}", run.job, run.key);
     Some((run.at, description))
 }
--- a/crates/test-support/src/processes/jobs.rs
+++ b/crates/test-support/src/processes/jobs.rs
@@ -11,6 +11,7 @@
 const LARGE_RESULT_BYTES: usize = 60_000;
 const SLOW: &str = "#slow";
 const LARGE: &str = "#large";
+const NAMED: &str = "#named";
 
 /// What a job costs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,6 +22,8 @@
     Slow,
     /// Its result is large.
     Large,
+    /// It is quick, and its result is its name.
+    Named,
 }
 
 /// The body of a job.
@@ -29,14 +32,16 @@
         Cost::Usual => "",
         Cost::Slow => SLOW,
         Cost::Large => LARGE,
+        Cost::Named => NAMED,
     };
     format!("{name}{suffix}")
 }
 
 /// The name of the job with this body.
 pub(super) fn name(body: &str) -> &str {
-    let name = body.strip_suffix(SLOW).unwrap_or(body);
-    name.strip_suffix(LARGE).unwrap_or(name)
+    let suffixes = [SLOW, LARGE, NAMED];
+    let without_suffix = suffixes.iter().find_map(|suffix| body.strip_suffix(suffix));
+    without_suffix.unwrap_or(body)
 }
 
 /// Runs the job with this body. Returns its result.
@@ -45,6 +50,8 @@
     std::thread::sleep(if is_slow { SLOW_DURATION } else { DURATION });
     if body.ends_with(LARGE) {
         "r".repeat(LARGE_RESULT_BYTES)
+    } else if body.ends_with(NAMED) {
+        name(body).to_owned()
     } else {
         "yes".to_owned()
     }
--- a/crates/test-support/src/processes/mod.rs
+++ b/crates/test-support/src/processes/mod.rs
@@ -15,6 +15,7 @@
 mod dispatcher;
 pub mod endpoints;
 pub mod faults;
+pub mod functions;
 pub mod gearman_peers;
 pub mod identities;
 mod identity_checks;
