Config: a function is made of its class in one place; the core's limits in one function

Change: Function::of_class serves both files, core_limits holds what the memory permits the core to keep. No behaviour is changed.

--- a/crates/net/src/config/gearman.rs
+++ b/crates/net/src/config/gearman.rs
@@ -151,7 +151,10 @@
         if self.functions.is_empty() {
             let classes = deployment.classes.iter().enumerate();
             self.functions = classes
-                .map(|(index, class)| (class.name.clone(), function_of_class(index, class)))
+                .map(|(index, class)| {
+                    let function = Function::of_class(index, class, DEFAULT_SLOTS);
+                    (class.name.clone(), function)
+                })
                 .collect();
         }
         self
@@ -200,21 +203,24 @@
                 format!("{} is not above 0 and at most {MAX_SLOTS}", self.slots),
             ));
         }
-        Ok(Function {
-            slots: self.slots,
-            ..function_of_class(class, &deployment.classes[class])
-        })
+        Ok(Function::of_class(
+            class,
+            &deployment.classes[class],
+            self.slots,
+        ))
     }
 }
 
-/// Creates a function whose jobs belong to a class.
-fn function_of_class(index: usize, class: &ClassSettings) -> Function {
-    Function {
-        class: ClassId(index),
-        slots: DEFAULT_SLOTS,
-        // The full deadline of the class: the decisions treat a request with less remaining time as
-        // a retry by a client that has already waited.
-        deadline: Duration::from_micros(class.deadline_us),
+impl Function {
+    /// A function whose jobs belong to the class with this index and take this many slots.
+    pub fn of_class(index: usize, class: &ClassSettings, slots: f64) -> Function {
+        Function {
+            class: ClassId(index),
+            slots,
+            // The full deadline of the class: the decisions treat a request with less remaining time
+            // as a retry by a client that has already waited.
+            deadline: Duration::from_micros(class.deadline_us),
+        }
     }
 }
 
--- a/crates/net/src/event_loop/dispatcher.rs
+++ b/crates/net/src/event_loop/dispatcher.rs
@@ -95,11 +95,7 @@
             .map(|gearman| prepare_gearman(&mut config, &gearman.config, &events))
             .transpose()?;
         let memory = MemoryBudget::new(config.memory.shared);
-        let mut limits = CoreLimits {
-            max_consumed_ids: config.memory.consumed_ids,
-            max_endpoints: config.memory.endpoints,
-            ..CoreLimits::default()
-        };
+        let limits = core_limits(&config, gearman.as_ref().map(|gearman| &gearman.config));
         if let (
             Some(GearmanListener {
                 config: gearman,
@@ -108,14 +104,6 @@
             Some(workers),
         ) = (gearman, workers.clone())
         {
-            limits.cache = IdempotencyCacheLimits {
-                max_bytes: gearman
-                    .cache_limits
-                    .max_bytes
-                    .min(config.memory.cached_results),
-                max_entry_bytes: config.memory.cache_entries,
-                ..gearman.cache_limits
-            };
             let deployment = config.deployment.clone();
             let frontend =
                 GearmanFrontend::new(events.clone(), deployment, gearman, workers, memory.clone());
@@ -191,6 +179,25 @@
     }
 }
 
+/// The limits of what the core keeps, which its memory permits.
+fn core_limits(config: &Config, gearman: Option<&GearmanConfig>) -> CoreLimits {
+    let memory = &config.memory;
+    let limits = CoreLimits {
+        max_consumed_ids: memory.consumed_ids,
+        max_endpoints: memory.endpoints,
+        ..CoreLimits::default()
+    };
+    let Some(gearman) = gearman else {
+        return limits;
+    };
+    let cache = IdempotencyCacheLimits {
+        max_bytes: gearman.cache_limits.max_bytes.min(memory.cached_results),
+        max_entry_bytes: memory.cache_entries,
+        ..gearman.cache_limits
+    };
+    CoreLimits { cache, ..limits }
+}
+
 /// Sends [`Event::FrontendsClosed`] once all frontends have ended.
 fn spawn_close_notification(mut frontends: JoinSet<()>, events: EventSender) {
     tokio::spawn(async move {
--- a/crates/site/src/convert/gearman.rs
+++ b/crates/site/src/convert/gearman.rs
@@ -2,12 +2,10 @@
 
 use crate::error::{SiteError, Source};
 use crate::schema::{self, Keep, Limits};
-use pumiceway_decisions::api::ClassId;
 use pumiceway_decisions::settings::DeploymentSettings;
 use pumiceway_net::config::{Function, GearmanConfig, IdempotencyCacheLimits};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 const MAX_CONNECTIONS: usize = 100_000;
 const MAX_JOBS: usize = 10_000;
@@ -55,11 +53,7 @@
         let reason = "must be more than 0 and at most 1000";
         return Err(source.error_at(function.slots.span(), key, reason));
     }
-    Ok(Function {
-        class: ClassId(class),
-        slots,
-        deadline: Duration::from_micros(deployment.classes[class].deadline_us),
-    })
+    Ok(Function::of_class(class, &deployment.classes[class], slots))
 }
 
 /// The limits of the Gearman frontend.
