Functions: a worker that may run nothing keeps the kind that it had before

What was wrong: with one function a class decisions had to stay the same, bit for bit. A worker that takes all its abilities back while it runs a job was listed, as gone, under the new kind of workers without default functions instead of the first kind of workers; what is learnt when that job ends counted for the wrong one.

The new test of core failed before (kind 4 instead of 1).

--- a/crates/core/src/functions/kinds.rs
+++ b/crates/core/src/functions/kinds.rs
@@ -43,6 +43,11 @@
         Some(kinds)
     }
 
+    /// The first of these kinds.
+    pub(super) fn first(self) -> KindId {
+        KindId(self.first_kind)
+    }
+
     /// The kind of a set of classes, given as a bit mask of their indices.
     pub(super) fn kind_of_set(self, class_set: usize) -> KindId {
         let position = class_set.checked_sub(1).unwrap_or(self.set_count);
--- a/crates/core/src/functions/mod.rs
+++ b/crates/core/src/functions/mod.rs
@@ -163,7 +163,7 @@
 
     /// The kind of a worker that may run nothing, whose endpoint is gone.
     pub fn kind_of_none(&self) -> KindId {
-        self.kinds.kind_of_set(0)
+        self.kinds.first()
     }
 
     /// The zone of all workers.
--- a/crates/core/tests/functions.rs
+++ b/crates/core/tests/functions.rs
@@ -194,3 +194,15 @@
         assert_eq!(started, Some((function, EndpointId(handle as u32))));
     }
 }
+
+// Guards against decisions that change with one function a class: what is learnt from a job that ends after
+// its worker has taken all abilities back counts for the kind of the first class.
+#[test]
+fn a_worker_that_may_run_nothing_has_the_kind_of_the_first_class() {
+    let mut settings = two_classes();
+    let catalog = catalog(&mut settings, FUNCTIONS);
+    let mut abilities = Abilities::default();
+    abilities.insert(JobFunction::default_of(PLAIN));
+    let listing = catalog.listing(&abilities).unwrap();
+    assert_eq!(catalog.kind_of_none(), listing.kind);
+}
