Functions: one rule for what a worker may run, and jobs that carry their own end

Found on reading the change. "May this worker run this job" and "how is it listed" each spelled out the rule for keyed jobs; "is this job keyed" stood in the catalog and again in the submission. The keyed functions were kept as the abilities of a worker, with a flag that meant nothing there. A session had a field for the end of its last job, set to a time without meaning before the first.

Change: FunctionCatalog::runnable holds the rule, is_keyed the question; JobFunctionSet is a set of functions, Abilities one with the flag. RunningJob holds its attempt and its end.

--- a/crates/core/src/functions/mod.rs
+++ b/crates/core/src/functions/mod.rs
@@ -14,16 +14,17 @@
 //! The decisions know none of this. They get the machine kind of an endpoint, which stands for the
 //! classes whose default functions it may run, and the set of its additional functions.
 
-mod abilities;
 mod kinds;
+mod set;
 
-pub use abilities::Abilities;
 pub use kinds::MAX_CLASSES;
+pub use set::{Abilities, JobFunctionSet};
 
 use kinds::WorkerKinds;
 use pumiceway_decisions::api::{
     ClassId, FunctionId, FunctionSet, Idempotency, KindId, Settings, ZoneId,
 };
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 
 /// What a job is: its class, and which function of the class.
@@ -66,7 +67,8 @@
     names: BTreeMap<JobFunction, String>,
     kinds: WorkerKinds,
     zone: ZoneId,
-    keyed: Abilities,
+    /// Those of whose jobs endpoints recognise a repeat by a key.
+    keyed: JobFunctionSet,
 }
 
 impl FunctionCatalog {
@@ -88,7 +90,7 @@
             names: BTreeMap::new(),
             kinds,
             zone: settings.home_zone.unwrap_or_default(),
-            keyed: Abilities::default(),
+            keyed: JobFunctionSet::default(),
         };
         for (&name, &class) in &functions {
             let only_one = functions.values().filter(|&&other| other == class).count() == 1;
@@ -125,7 +127,7 @@
     pub fn names_of(&self, abilities: &Abilities) -> impl Iterator<Item = &str> {
         let functions = self.names.iter();
         functions
-            .filter(|(function, _)| abilities.contains(**function))
+            .filter(|(function, _)| abilities.functions.contains(**function))
             .map(|(_, name)| name.as_str())
     }
 
@@ -140,24 +142,33 @@
         classes
     }
 
-    /// Whether a worker may run jobs of a function: it can do the function, and if endpoints recognise
-    /// a repeat of its jobs by a key, it is told that key. Others would run a repeat again.
+    /// Whether endpoints recognise a repeat of the function's jobs by their idempotency keys.
+    pub fn is_keyed(&self, function: JobFunction) -> bool {
+        self.keyed.contains(function)
+    }
+
+    /// The functions that a worker can do, without those whose jobs have keys if it is not told the
+    /// keys: it would run a repeat again.
+    fn runnable<'a>(&self, abilities: &'a Abilities) -> Cow<'a, JobFunctionSet> {
+        if abilities.takes_unique_ids {
+            Cow::Borrowed(&abilities.functions)
+        } else {
+            Cow::Owned(abilities.functions.difference(&self.keyed))
+        }
+    }
+
+    /// Whether a worker may run jobs of a function.
     pub fn may_run(&self, abilities: &Abilities, function: JobFunction) -> bool {
-        abilities.contains(function)
-            && (abilities.takes_unique_ids || !self.keyed.contains(function))
+        self.runnable(abilities).contains(function)
     }
 
     /// How a worker is listed for the decisions, so that they select it for the jobs that it
     /// [may run](FunctionCatalog::may_run); `None` if there are none.
     pub fn listing(&self, abilities: &Abilities) -> Option<WorkerListing> {
-        let runnable = if abilities.takes_unique_ids {
-            abilities.clone()
-        } else {
-            abilities.without(&self.keyed)
-        };
+        let runnable = self.runnable(abilities);
         (!runnable.is_empty()).then(|| WorkerListing {
             kind: self.kinds.kind_of_set(runnable.default_classes),
-            functions: runnable.additional,
+            functions: runnable.additional.clone(),
         })
     }
 
--- a/crates/core/src/functions/abilities.rs
+++ b/crates/core/src/functions/set.rs
@@ -1,36 +1,24 @@
-//! What one worker can do.
+//! Sets of functions, and what one worker can do.
 
 use super::JobFunction;
 use pumiceway_decisions::api::FunctionSet;
 
-/// The functions that a worker can do, and whether it is told the unique ids of its jobs.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Abilities {
-    /// The classes whose default functions it can do, as a bit mask of their indices.
+/// A set of functions, default and additional ones.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct JobFunctionSet {
+    /// The classes whose default functions are in the set, as a bit mask of their indices.
     pub(super) default_classes: usize,
-    /// The additional functions that it can do.
+    /// The additional functions.
     pub(super) additional: FunctionSet,
-    /// It asks for the unique ids of its jobs; supposed until it does not.
-    pub takes_unique_ids: bool,
 }
 
-impl Default for Abilities {
-    fn default() -> Abilities {
-        Abilities {
-            default_classes: 0,
-            additional: FunctionSet::default(),
-            takes_unique_ids: true,
-        }
-    }
-}
-
-impl Abilities {
-    /// Whether the worker can do nothing.
+impl JobFunctionSet {
+    /// Whether the set has no functions.
     pub fn is_empty(&self) -> bool {
         self.default_classes == 0 && self.additional.is_empty()
     }
 
-    /// Whether the worker can do a function.
+    /// Whether a function is in the set.
     pub fn contains(&self, function: JobFunction) -> bool {
         match function.additional {
             None => self.default_classes & class_bit(function) != 0,
@@ -38,7 +26,7 @@
         }
     }
 
-    /// Adds a function. Returns whether the worker could not do it before.
+    /// Adds a function. Returns whether it was not in the set before.
     pub fn insert(&mut self, function: JobFunction) -> bool {
         let is_new = !self.contains(function);
         match function.additional {
@@ -48,7 +36,7 @@
         is_new
     }
 
-    /// Removes a function, if the worker can do it.
+    /// Removes a function, if it is in the set.
     pub fn remove(&mut self, function: JobFunction) {
         match function.additional {
             None => self.default_classes &= !class_bit(function),
@@ -56,18 +44,11 @@
         }
     }
 
-    /// Removes all functions.
-    pub fn clear(&mut self) {
-        self.default_classes = 0;
-        self.additional = FunctionSet::default();
-    }
-
-    /// The same worker without the functions in `others`.
-    pub(super) fn without(&self, others: &Abilities) -> Abilities {
-        Abilities {
-            default_classes: self.default_classes & !others.default_classes,
-            additional: self.additional.difference(&others.additional),
-            takes_unique_ids: self.takes_unique_ids,
+    /// The functions of this set that are not in the other.
+    pub(super) fn difference(&self, other: &JobFunctionSet) -> JobFunctionSet {
+        JobFunctionSet {
+            default_classes: self.default_classes & !other.default_classes,
+            additional: self.additional.difference(&other.additional),
         }
     }
 }
@@ -75,3 +56,21 @@
 fn class_bit(function: JobFunction) -> usize {
     1 << function.class.0
 }
+
+/// What a worker can do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Abilities {
+    /// The functions that it can do.
+    pub functions: JobFunctionSet,
+    /// It asks for the unique ids of its jobs; supposed until it does not.
+    pub takes_unique_ids: bool,
+}
+
+impl Default for Abilities {
+    fn default() -> Abilities {
+        Abilities {
+            functions: JobFunctionSet::default(),
+            takes_unique_ids: true,
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,7 +48,8 @@
 pub use endpoints::{Endpoint, EndpointAddress, EndpointListUpdate, EndpointSource};
 pub use event::{Event, HealthCheckId};
 pub use functions::{
-    Abilities, FunctionCatalog, JobFunction, MAX_CLASSES, TooManyClasses, WorkerListing,
+    Abilities, FunctionCatalog, JobFunction, JobFunctionSet, MAX_CLASSES, TooManyClasses,
+    WorkerListing,
 };
 pub use idempotency_cache::IdempotencyCacheLimits;
 pub use limits::CoreLimits;
--- a/crates/core/tests/functions.rs
+++ b/crates/core/tests/functions.rs
@@ -79,13 +79,15 @@
         .collect();
     for subset in 0..1 << functions.len() {
         for takes_unique_ids in [true, false] {
-            let mut abilities = Abilities::default();
-            abilities.takes_unique_ids = takes_unique_ids;
+            let mut abilities = Abilities {
+                takes_unique_ids,
+                ..Abilities::default()
+            };
             let can_do = |index: usize| subset & (1 << index) != 0;
             for (index, function) in functions.iter().enumerate() {
-                abilities.insert(*function);
+                abilities.functions.insert(*function);
                 if !can_do(index) {
-                    abilities.remove(*function);
+                    abilities.functions.remove(*function);
                 }
             }
             let listing = catalog.listing(&abilities);
@@ -118,7 +120,9 @@
         .zip(names)
         .map(|(function, name)| {
             let mut abilities = Abilities::default();
-            abilities.insert(catalog.function(function).unwrap());
+            abilities
+                .functions
+                .insert(catalog.function(function).unwrap());
             let listing = catalog.listing(&abilities).unwrap();
             Endpoint {
                 kind: listing.kind,
@@ -202,7 +206,7 @@
     let mut settings = two_classes();
     let catalog = catalog(&mut settings, FUNCTIONS);
     let mut abilities = Abilities::default();
-    abilities.insert(JobFunction::default_of(PLAIN));
+    abilities.functions.insert(JobFunction::default_of(PLAIN));
     let listing = catalog.listing(&abilities).unwrap();
     assert_eq!(catalog.kind_of_none(), listing.kind);
 }
--- a/crates/decisions/src/policy/functions.rs
+++ b/crates/decisions/src/policy/functions.rs
@@ -8,7 +8,7 @@
 
 use super::Balancer;
 use super::preference::PreferenceOrder;
-use crate::api::{Class, EndpointId, FunctionId, FunctionSet, RequestId, Settings};
+use crate::api::{EndpointId, FunctionId, FunctionSet, RequestId, Settings};
 use crate::bit_set::BitSet;
 use crate::state::{BalancerState, Endpoint, Request};
 
@@ -146,12 +146,12 @@
     pub(super) fn count_endpoints_of_class(&self, index: usize, ready: &[EndpointId]) -> usize {
         let class = &self.settings.classes[index];
         let functions = &self.function_orders.of_class[index];
-        let may_serve = |id: &&EndpointId| may_serve(class, functions, self.state.endpoint(**id));
+        let may_serve = |id: &&EndpointId| {
+            let endpoint = self.state.endpoint(**id);
+            let lists_function = || endpoint.functions.intersects(functions);
+            class.allows(endpoint.zone, endpoint.kind)
+                || class.allows_zone(endpoint.zone) && lists_function()
+        };
         ready.iter().filter(may_serve).count()
     }
 }
-
-fn may_serve(class: &Class, functions: &FunctionSet, endpoint: &Endpoint) -> bool {
-    class.allows(endpoint.zone, endpoint.kind)
-        || class.allows_zone(endpoint.zone) && endpoint.functions.intersects(functions)
-}
--- a/crates/net/src/config/memory.rs
+++ b/crates/net/src/config/memory.rs
@@ -62,22 +62,7 @@
             cache_entries: shared / CACHE_ENTRIES_DIVISOR,
         }
     }
-}
-
-/// The additional functions of a deployment need more memory than there is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error(
-    "functions: {functions} functions beside those that stand for a whole class, for {workers} \
-     connections, take {needed} bytes of memory; with this memory limit at most {available}"
-)]
-pub struct TooManyFunctions {
-    functions: usize,
-    workers: usize,
-    needed: usize,
-    available: usize,
-}
 
-impl MemoryLimits {
     /// Takes the memory for the orders of additional functions from the budget.
     ///
     /// # Errors
@@ -105,6 +90,19 @@
     }
 }
 
+/// The additional functions of a deployment need more memory than there is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "functions: {functions} functions beside those that stand for a whole class, for {workers} \
+     connections, take {needed} bytes of memory; with this memory limit at most {available}"
+)]
+pub struct TooManyFunctions {
+    functions: usize,
+    workers: usize,
+    needed: usize,
+    available: usize,
+}
+
 /// The number of connections to endpoints that the memory permits.
 pub(super) fn max_endpoint_connections(memory_mb: u64) -> usize {
     usable(memory_mb) / ENDPOINT_CONNECTIONS_DIVISOR / BYTES_PER_ENDPOINT_CONNECTION
--- a/crates/net/src/event_loop/dispatcher.rs
+++ b/crates/net/src/event_loop/dispatcher.rs
@@ -96,14 +96,11 @@
             .transpose()?;
         let memory = MemoryBudget::new(config.memory.shared);
         let limits = core_limits(&config, gearman.as_ref().map(|gearman| &gearman.config));
-        if let (
-            Some(GearmanListener {
+        if let Some((gearman, workers)) = gearman.zip(workers.clone()) {
+            let GearmanListener {
                 config: gearman,
                 listener,
-            }),
-            Some(workers),
-        ) = (gearman, workers.clone())
-        {
+            } = gearman;
             let deployment = config.deployment.clone();
             let frontend =
                 GearmanFrontend::new(events.clone(), deployment, gearman, workers, memory.clone());
@@ -207,8 +204,9 @@
 }
 
 /// Adapts the configuration to the Gearman frontend and creates its worker sessions: reserves its
-/// connections in the socket budget and the memory of its functions, and adds these to the settings. Also limits the length of the queue, and sets the maximum queue time of classes that have none to their
-/// deadline; both apply to the requests of all frontends.
+/// connections in the socket budget, and adds its functions to the settings. Also limits the length of
+/// the queue, and sets the maximum queue time of classes that have none to their deadline; both
+/// apply to the requests of all frontends.
 fn prepare_gearman(
     config: &mut Config,
     gearman: &GearmanConfig,
@@ -228,6 +226,7 @@
     ))
 }
 
+/// Adds the functions of the Gearman frontend to the settings, and reserves the memory that they take.
 fn add_functions(config: &mut Config, gearman: &GearmanConfig) -> io::Result<FunctionCatalog> {
     let deployment = config.deployment.clone();
     let class_names: Vec<&str> = deployment
--- a/crates/net/src/frontend/gearman/clients/submission.rs
+++ b/crates/net/src/frontend/gearman/clients/submission.rs
@@ -5,7 +5,6 @@
 use crate::frontend::gearman::codec::{MAX_WORKLOAD, Packet};
 use bytes::Bytes;
 use pumiceway_core::{ClientRequest, IdOrigin, Job, JobFunction};
-use pumiceway_decisions::settings::RepeatSemantics;
 use std::fmt::Write;
 use std::sync::Arc;
 
@@ -69,7 +68,9 @@
         let function = self.find_function(frontend);
         let function =
             function.ok_or_else(|| SubmitError::UnknownFunction(self.function.clone()))?;
-        if is_keyed(frontend, function.function) && self.unique_id.trim() != self.unique_id {
+        if frontend.workers.catalog().is_keyed(function.function)
+            && self.unique_id.trim() != self.unique_id
+        {
             return Err(SubmitError::InvalidUniqueId);
         }
         if self.workload.len() > MAX_WORKLOAD {
@@ -100,7 +101,8 @@
         let class_name = &frontend.settings.classes[function.class.0].name;
         let path = format!("/{class_name}/{}", percent_encode(name));
         // The key of an HTTP client and the unique id of a Gearman client are the same key.
-        let idempotency_key = is_keyed(frontend, function).then(|| name.clone());
+        let is_keyed = frontend.workers.catalog().is_keyed(function);
+        let idempotency_key = is_keyed.then(|| name.clone());
         ClientRequest {
             function,
             remaining: config.deadline,
@@ -119,12 +121,6 @@
     }
 }
 
-/// Whether endpoints recognise a repeat of the function's jobs by their idempotency keys.
-fn is_keyed(frontend: &GearmanFrontend, function: JobFunction) -> bool {
-    let class = &frontend.settings.classes[function.class.0];
-    matches!(class.repeats, RepeatSemantics::Keyed)
-}
-
 /// Encodes a unique id as a segment of a path.
 fn percent_encode(unique_id: &str) -> String {
     let mut segment = String::new();
--- a/crates/net/src/frontend/gearman/workers/mod.rs
+++ b/crates/net/src/frontend/gearman/workers/mod.rs
@@ -14,11 +14,11 @@
 use endpoint_numbers::EndpointNumbers;
 use pumiceway_core::{
     AttemptId, AttemptOutcome, AttemptUpdate, EndpointListUpdate, EndpointSource, Event,
-    FunctionCatalog, JobFunction,
+    FunctionCatalog, JobFunction, JobFunctionSet,
 };
 use pumiceway_decisions::api::{EndpointState, LoadReport, Outcome, Timestamp};
 pub use session::OfferedJob;
-use session::Session;
+use session::{RunningJob, Session};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -90,7 +90,7 @@
             inner.sessions.insert(session_id, worker);
         }
         let worker = inner.sessions.get_mut(&session_id);
-        if worker.is_some_and(|worker| worker.abilities.insert(function)) {
+        if worker.is_some_and(|worker| worker.abilities.functions.insert(function)) {
             inner.update_endpoint(session_id, EndpointState::Ready);
         }
     }
@@ -100,7 +100,7 @@
         let mut inner = self.lock();
         let function = self.catalog.function(name);
         if let (Some(worker), Some(function)) = (inner.sessions.get_mut(&session_id), function) {
-            worker.abilities.remove(function);
+            worker.abilities.functions.remove(function);
         }
         inner.update_endpoint(session_id, EndpointState::Ready);
     }
@@ -109,7 +109,7 @@
     pub fn reset_abilities(&self, session_id: u64) {
         let mut inner = self.lock();
         if let Some(worker) = inner.sessions.get_mut(&session_id) {
-            worker.abilities.clear();
+            worker.abilities.functions = JobFunctionSet::default();
         }
         inner.update_endpoint(session_id, EndpointState::Ready);
     }
@@ -161,8 +161,11 @@
             return Packet::NoJob;
         };
         let handle = format!("H:pumiceway:b{}", attempt.0);
-        worker.running.insert(handle.clone(), Some(attempt));
-        worker.job_ends_by = ends_by;
+        let running = RunningJob {
+            attempt: Some(attempt),
+            ends_by,
+        };
+        worker.running.insert(handle.clone(), running);
         inner.attempt_updated(attempt, AttemptUpdate::Started);
         Packet::JobAssign {
             handle,
@@ -176,10 +179,10 @@
     pub fn job_updated(&self, session_id: u64, handle: &str, update: AttemptUpdate) -> bool {
         let inner = self.lock();
         let worker = inner.sessions.get(&session_id);
-        let Some(attempt) = worker.and_then(|worker| worker.running.get(handle)) else {
+        let Some(job) = worker.and_then(|worker| worker.running.get(handle)) else {
             return false;
         };
-        if let Some(attempt) = *attempt {
+        if let Some(attempt) = job.attempt {
             inner.attempt_updated(attempt, update);
         }
         true
@@ -189,10 +192,10 @@
     pub fn job_ended(&self, session_id: u64, handle: &str, outcome: AttemptOutcome) -> bool {
         let mut inner = self.lock();
         let worker = inner.sessions.get_mut(&session_id);
-        let Some(attempt) = worker.and_then(|worker| worker.running.remove(handle)) else {
+        let Some(job) = worker.and_then(|worker| worker.running.remove(handle)) else {
             return false;
         };
-        match attempt {
+        match job.attempt {
             Some(attempt) => inner.attempt_ended(attempt, outcome),
             None => inner.update_endpoint(session_id, EndpointState::Ready),
         }
@@ -207,7 +210,7 @@
         let Some(worker) = inner.sessions.remove(&session_id) else {
             return;
         };
-        let reserved_until = (!worker.running.is_empty()).then_some(worker.job_ends_by);
+        let reserved_until = worker.running.values().map(|job| job.ends_by).max();
         inner
             .endpoint_numbers
             .release(worker.endpoint_number, reserved_until);
@@ -215,7 +218,8 @@
             inner.attempt_ended(offered.attempt, AttemptOutcome::ConnectFailed);
         }
         // Not `ConnectFailed`: a job that the worker has grabbed may have run.
-        for attempt in worker.running.into_values().flatten() {
+        let attempts = worker.running.into_values().filter_map(|job| job.attempt);
+        for attempt in attempts {
             inner.attempt_ended(attempt, AttemptOutcome::Reset);
         }
     }
@@ -263,8 +267,8 @@
                 worker.offered = None;
             }
             for running in worker.running.values_mut() {
-                if *running == Some(attempt) {
-                    *running = None;
+                if running.attempt == Some(attempt) {
+                    running.attempt = None;
                     busy_session = Some(session_id);
                 }
             }
@@ -305,7 +309,7 @@
         let inner = self.lock();
         let workers = inner.sessions.values();
         workers
-            .filter(|worker| worker.abilities.contains(function))
+            .filter(|worker| worker.abilities.functions.contains(function))
             .count()
     }
 }
--- a/crates/net/src/frontend/gearman/workers/session.rs
+++ b/crates/net/src/frontend/gearman/workers/session.rs
@@ -26,6 +26,14 @@
     pub ends_by: Instant,
 }
 
+/// A job that a worker has grabbed and has not ended.
+pub(super) struct RunningJob {
+    /// `None` once the attempt is aborted.
+    pub attempt: Option<AttemptId>,
+    /// When nobody needs its result any more.
+    pub ends_by: Instant,
+}
+
 /// The state of a worker session.
 pub(super) struct Session {
     pub outbox: Outbox,
@@ -39,10 +47,8 @@
     /// The worker has sent `PRE_SLEEP` and waits for a `NOOP` packet.
     pub is_sleeping: bool,
     pub offered: Option<OfferedJob>,
-    /// The attempts whose jobs the worker runs, by job handle; `None` once the attempt is aborted.
-    pub running: HashMap<String, Option<AttemptId>>,
-    /// When nobody needs the result of the last of them any more.
-    pub job_ends_by: Instant,
+    /// The jobs that the worker runs, by job handle.
+    pub running: HashMap<String, RunningJob>,
 }
 
 impl Session {
@@ -56,7 +62,6 @@
             is_sleeping: false,
             offered: None,
             running: HashMap::new(),
-            job_ends_by: Instant::now(),
         }
     }
 
@@ -105,7 +110,7 @@
     /// A worker that still runs an aborted job is listed as draining: the core does not know that
     /// it is busy, and the session would reject every attempt.
     fn effective_state(&self, state: EndpointState) -> EndpointState {
-        let runs_aborted_job = self.running.values().any(Option::is_none);
+        let runs_aborted_job = self.running.values().any(|job| job.attempt.is_none());
         if state == EndpointState::Ready && runs_aborted_job {
             EndpointState::Draining
         } else {
--- a/crates/test-support/benches/functions.rs
+++ b/crates/test-support/benches/functions.rs
@@ -28,7 +28,7 @@
     /// All of them.
     EveryFunction,
     /// This many, from a position that moves on with each worker.
-    Some(usize),
+    Functions(usize),
 }
 
 struct Bench {
@@ -63,8 +63,8 @@
         })
     }
 
-    /// Passes an event to the core. Returns how long it took, and the effects.
-    fn reduce(&mut self, event: Event) -> (Duration, Vec<Effect>) {
+    /// Passes an event to the core. Returns how long it took.
+    fn reduce(&mut self, event: Event) -> Duration {
         self.now += Duration::from_micros(10);
         let start = Instant::now();
         let effects = self.core.reduce(self.now, event);
@@ -74,18 +74,20 @@
                 self.attempts.push(*attempt);
             }
         }
-        (elapsed, effects)
+        elapsed
     }
 
     /// A worker connects and names its functions one by one.
     fn connect(&mut self, session: usize, fleet: Fleet, times: &mut Times) {
         let count = match fleet {
             Fleet::EveryFunction => self.functions.len(),
-            Fleet::Some(count) => count.min(self.functions.len()),
+            Fleet::Functions(count) => count.min(self.functions.len()),
         };
         let mut abilities = Abilities::default();
         for n in 0..count {
-            abilities.insert(self.functions[(session * count + n) % self.functions.len()]);
+            abilities
+                .functions
+                .insert(self.functions[(session * count + n) % self.functions.len()]);
             let update =
                 EndpointListUpdate::Delta(self.endpoint(session, &abilities).into_iter().collect());
             let event = Event::EndpointListUpdated {
@@ -93,7 +95,7 @@
                 as_of: Timestamp::ORIGIN,
                 update,
             };
-            times.add(self.reduce(event).0);
+            times.add(self.reduce(event));
         }
     }
 
@@ -135,7 +137,7 @@
             }),
         };
         let handle = RequestHandle(handle);
-        self.reduce(Event::RequestSubmitted { handle, request }).0
+        self.reduce(Event::RequestSubmitted { handle, request })
     }
 
     /// The attempt that began first starts to run and is served; returns how long the latter took.
@@ -150,7 +152,7 @@
             outcome,
             report,
         };
-        self.reduce(event).0
+        self.reduce(event)
     }
 }
 
@@ -203,10 +205,10 @@
     }
     let session_bytes = (resident_bytes()? - before) / SESSIONS as f64;
     // Every worker is busy, and a job of each function waits.
-    let mut full = Times::default();
     for _ in 0..2 * SESSIONS + MAX_QUEUED {
         bench.submit();
     }
+    let mut full = Times::default();
     for _ in 0..DECISIONS / 10 {
         full.add(bench.serve_first());
         full.add(bench.submit());
@@ -231,8 +233,8 @@
     let rows = [
         (1, Fleet::EveryFunction),
         (200, Fleet::EveryFunction),
-        (200, Fleet::Some(5)),
-        (200, Fleet::Some(1)),
+        (200, Fleet::Functions(5)),
+        (200, Fleet::Functions(1)),
     ];
     let row: Option<usize> = std::env::args().find_map(|argument| argument.parse().ok());
     for (index, (function_count, fleet)) in rows.into_iter().enumerate() {
--- a/crates/test-support/src/processes/functions.rs
+++ b/crates/test-support/src/processes/functions.rs
@@ -5,7 +5,7 @@
 
 use super::clients::RequestEnd;
 use super::endpoints::Arrival;
-use super::gearman_peers::{Submitted, submit};
+use super::gearman_peers::{DEFAULT_FUNCTIONS, Submitted, submit};
 use super::identities::KEYED_CLASS;
 use super::jobs::{self, Cost};
 use super::{Dispatcher, TestFleet};
@@ -59,13 +59,12 @@
 
 /// Submits jobs of all functions of a class under one unique id, at the same time, until this time.
 pub(super) fn run_client(fleet: &TestFleet, dispatcher: &Dispatcher, until: Instant) {
-    let classes = ["rate-push", "booking-import", KEYED_CLASS];
-    let mut number = 0;
-    while Instant::now() < until {
-        let class = classes[number % classes.len()];
-        number += 1;
+    let mut classes = DEFAULT_FUNCTIONS.iter().cycle();
+    while Instant::now() < until
+        && let Some(class) = classes.next()
+    {
         let unique_id = fleet.unique_name("shared");
-        let functions = FUNCTIONS.iter().filter(|(_, other)| *other == class);
+        let functions = FUNCTIONS.iter().filter(|(_, other)| other == class);
         let submitted: Vec<(String, Option<Submitted>)> = functions
             .map(|(function, _)| {
                 let name = job_name(function, &unique_id);
--- a/crates/test-support/src/processes/gearman_peers.rs
+++ b/crates/test-support/src/processes/gearman_peers.rs
@@ -10,8 +10,8 @@
 use crate::Peer;
 use std::time::{Duration, Instant};
 
-/// The functions that stand for whole classes.
-const DEFAULT_FUNCTIONS: [&str; 3] = ["rate-push", "booking-import", KEYED_CLASS];
+/// The functions that stand for whole classes, whose names they have.
+pub(super) const DEFAULT_FUNCTIONS: [&str; 3] = ["rate-push", "booking-import", KEYED_CLASS];
 /// The pause of a peer before it connects again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// How long a client that leaves stays, and the longest time that it is away.
